--- /dev/null
+++ b/api.go
@@ -0,0 +1,306 @@
+// Package headmill decides for a session controller (a "front") of a fleet of
+// media servers: where a new session is set up, at which rung of the rate
+// ladder, when a rung changes, and when a session is refused.
+//
+// This file is the interface. A caller builds a Config, makes one Controller
+// for each front with New, hands it events with Step and carries out the
+// returned actions in their order. All decisions are in controller.go.
+//
+// Times are milliseconds on the caller's clock, which must not run backwards;
+// rates are kB a second. A Controller keeps no goroutine, reads no clock and
+// is not safe for concurrent use; separate Controllers share nothing.
+package headmill
+
+import (
+	"fmt"
+	"math"
+)
+
+// ServerID is an opaque name of a media server: 4 address bytes and a port.
+type ServerID uint64
+
+// SessionID names one request for a session; ids never come twice.
+type SessionID uint32
+
+// Semantics tells whether a set-up may be repeated.
+type Semantics uint8
+
+// The semantics of a class.
+const (
+	Repeatable Semantics = iota // may be repeated freely
+	Once                        // never again once an attempt may have run
+	ByKey                       // again only within KeyScope and KeyTTLMs
+)
+
+// Scope is the group of servers within which a ByKey set-up may be repeated.
+type Scope uint8
+
+// The scopes.
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Class is one kind of session.
+type Class struct {
+	AimMs    float64 // a set-up should play within this
+	GiveUpMs float64 // a viewer waits so long
+	Repeat   Semantics
+	KeyScope Scope
+	KeyTTLMs float64
+	Value    float64 // worth of one second at a rung of worth 1
+	Scale    float64 // rates of the class over those of the ladder
+	Floor    int     // lowest rung that may be set
+	Top      int     // highest rung
+	Live     bool    // viewers of a title share a stream
+	Seats    int     // sessions of one title a front may hold; 0 = no cap
+}
+
+// Tenant is a customer with a share of the service.
+type Tenant struct {
+	AllowancePerS float64 // sessions a second at all fronts within its share
+	Share         float64
+}
+
+// Config is what a front is told at its start. Figures of zero mean "not stated".
+type Config struct {
+	Me, Fronts, Zone int
+	Classes          []Class
+	Tenants          []Tenant
+	OverShareWorth   float64   // worth of a session beyond its tenant's share
+	RateKB           []float64 // the ladder
+	RungWorth        []float64 // what each rung earns
+	Cells, Racks     int
+	Places           []int   // streams a server of each kind runs at most
+	LinkUnitKB       float64 // link for each unit of a server's weight
+	AllLinksKB       float64 // all links together at the start
+	UplinkKB         float64 // mean uplink of a rack
+	WeightsKnown     bool    // Server.Weight tells sizes apart
+	GuardAt          float64 // a server answers Full at this link load; 0 = never
+	Join             float64 // part of its rate that a further live viewer adds
+	ShortfallCost    float64 // worth lost for each point of rate missing
+	SwitchS          float64 // price of a rung change, seconds of worth
+	TellMs           float64 // time between load notes; 0 = none
+	ToldLateMs       float64 // how late notes are
+	MaxAttempts      int
+	ConnectMs        float64
+	MaxRetryAfterMs  float64
+	RetryAfter       bool
+	CanCancel        bool
+	CanProbe         bool
+	CanPost          bool
+	MoveCost         float64
+	CrossZoneCost    float64
+	ProbeCost        float64
+	Subscribe        bool // the server list must be asked for
+	AnswerSlackMs    float64
+	DrainGraceMs     float64
+	OverloadFactor   float64
+	TipAfterMs       float64
+	WarmWithinMs     float64
+	ColdFrom         float64
+	RetryRationed    bool // the three figures below apply
+	MinExtra         float64
+	RepeatRatio      float64
+	LookBackMs       float64
+}
+
+// Health is what the server list says of a server.
+type Health uint8
+
+// The states of the server list.
+const (
+	Ready Health = iota
+	Gone
+	Draining
+)
+
+// Server is one entry of the server list.
+type Server struct {
+	ID        ServerID
+	UpSinceMs float64 // last start; 0 = long ago
+	Cell      int     // its rack is Cell mod Config.Racks
+	Health    Health
+	Weight    float64
+	Kind      int
+	Zone      int
+}
+
+// Outcome is the end of an attempt.
+type Outcome uint16
+
+// The outcomes. Full, ConnectFailed and Moot prove that nothing ran.
+const (
+	Failed Outcome = iota
+	Served
+	Full
+	TimedOut
+	ConnectFailed
+	Reset
+	Cancelled
+	Moot
+)
+
+// EventKind tells which fields of an Event are set.
+type EventKind uint8
+
+// The events.
+const (
+	EvServers  EventKind = iota // Servers, Delta, ListFailed
+	EvRequest                   // a viewer wants a session
+	EvExisting                  // a session under way at the start, on Server
+	EvPlaying                   // attempt plays: Session, Attempt, Server, TookMs
+	EvNote                      // Session, Server, Note, Value
+	EvSettled                   // attempt ended: Outcome, Finished, Report
+	EvGone                      // the viewer left
+	EvTimer                     // Timer
+	EvProbed                    // Server, Outcome, TookMs, Report
+	EvMessage                   // From, Data
+)
+
+// NoteKind is the subject of a note on a session.
+type NoteKind uint8
+
+// The notes. Link and uplink loads are what is asked over what is given.
+const (
+	NoteShare NoteKind = 1 + iota // share of their rates that sessions there got
+	NoteRung                      // the rung in force
+	NoteLink
+	NoteUplink
+)
+
+// Report is a server's load report; fields that were not told are negative.
+type Report struct {
+	Told         bool
+	Streams      float64
+	Link, Uplink float64
+}
+
+// Event is one thing a front hears. Events of a Step happen at its time, in order.
+type Event struct {
+	Kind        EventKind
+	Session     SessionID
+	Server      ServerID
+	Class       int
+	Tenant      int
+	Viewer      uint64 // the same when a viewer comes again
+	Title       uint64
+	RemainingMs float64 // until the viewer gives up this try
+	HintMs      float64 // rough length of the session; 0 = none
+	Home        int     // first cell that holds the title
+	Copies      int     // cells in a row that hold it
+	TopRung     int     // highest rung of this viewer
+	Again       bool
+	Moved       bool
+	Attempt     int
+	TookMs      float64
+	Outcome     Outcome
+	Finished    bool
+	Report      Report
+	Note        NoteKind
+	Value       float64
+	Timer       uint64
+	Servers     []Server // only read during Step
+	Delta       bool     // Servers holds changed entries only
+	ListFailed  bool
+	From        int
+	Data        []byte // only read during Step
+}
+
+// ActionKind tells which fields of an Action are set.
+type ActionKind uint8
+
+// The actions.
+const (
+	ActSend    ActionKind = iota // set Session up at Server, time-out AtMs
+	ActRefuse                    // final answer, RetryMs as advice (0 = none)
+	ActFail                      // final answer, no promise of its effect
+	ActCancel                    // stop waiting for Attempt
+	ActRung                      // set Rung
+	ActMove                      // end a playing session; it comes back
+	ActTimer                     // an EvTimer named Timer at AtMs
+	ActProbe                     // check Server
+	ActWatch                     // subscribe to the server list
+	ActRefresh                   // ask for the full server list
+	ActLog                       // Text for the person on call
+)
+
+// Action is one thing a front is to do, in the order given.
+type Action struct {
+	Kind    ActionKind
+	Session SessionID
+	Server  ServerID
+	Attempt int
+	Rung    int
+	AtMs    float64 // time-out of ActSend (0 = until the viewer gives up), time of ActTimer
+	RetryMs float64
+	Timer   uint64
+	Text    string
+}
+
+// Validate reports the first field of c whose shape no front could work with.
+func (c *Config) Validate() error {
+	if len(c.Classes) == 0 {
+		return fmt.Errorf("headmill: Classes is empty")
+	}
+	if len(c.RateKB) == 0 || len(c.RateKB) != len(c.RungWorth) {
+		return fmt.Errorf("headmill: RateKB has %d rungs and RungWorth %d", len(c.RateKB), len(c.RungWorth))
+	}
+	if c.Fronts < 1 || c.Me < 0 || c.Me >= c.Fronts {
+		return fmt.Errorf("headmill: Me is %d of Fronts %d", c.Me, c.Fronts)
+	}
+	if c.Cells < 1 || c.Racks < 1 || c.MaxAttempts < 1 {
+		return fmt.Errorf("headmill: Cells %d, Racks %d and MaxAttempts %d must be positive",
+			c.Cells, c.Racks, c.MaxAttempts)
+	}
+	for i, r := range c.RateKB {
+		if !(r > 0) || math.IsInf(r, 0) || (i > 0 && r <= c.RateKB[i-1]) {
+			return fmt.Errorf("headmill: RateKB[%d] is %v; rates must be positive, finite and rising", i, r)
+		}
+	}
+	for i, w := range c.RungWorth {
+		if !figure(w) {
+			return fmt.Errorf("headmill: RungWorth[%d] is %v", i, w)
+		}
+	}
+	for i, n := range c.Places {
+		if n < 0 {
+			return fmt.Errorf("headmill: Places[%d] is %d", i, n)
+		}
+	}
+	for i, k := range c.Classes {
+		if !figure(k.AimMs) || !figure(k.GiveUpMs) || !figure(k.KeyTTLMs) || !figure(k.Value) || !figure(k.Scale) {
+			return fmt.Errorf("headmill: Classes[%d] has a negative or non-finite figure", i)
+		}
+		if k.Scale == 0 || k.Floor < 0 || k.Floor >= len(c.RateKB) || k.Top < k.Floor || k.Seats < 0 {
+			return fmt.Errorf("headmill: Classes[%d]: scale %v, floor %d, top %d, seats %d do not fit %d rungs",
+				i, k.Scale, k.Floor, k.Top, k.Seats, len(c.RateKB))
+		}
+	}
+	for i, t := range c.Tenants {
+		if !figure(t.AllowancePerS) || !figure(t.Share) {
+			return fmt.Errorf("headmill: Tenants[%d] has a negative or non-finite figure", i)
+		}
+	}
+	for _, f := range []struct {
+		name string
+		v    float64
+	}{
+		{"OverShareWorth", c.OverShareWorth}, {"LinkUnitKB", c.LinkUnitKB}, {"AllLinksKB", c.AllLinksKB},
+		{"UplinkKB", c.UplinkKB}, {"GuardAt", c.GuardAt}, {"Join", c.Join}, {"ShortfallCost", c.ShortfallCost},
+		{"SwitchS", c.SwitchS}, {"TellMs", c.TellMs}, {"ToldLateMs", c.ToldLateMs}, {"ConnectMs", c.ConnectMs},
+		{"MaxRetryAfterMs", c.MaxRetryAfterMs}, {"MoveCost", c.MoveCost}, {"CrossZoneCost", c.CrossZoneCost},
+		{"ProbeCost", c.ProbeCost}, {"AnswerSlackMs", c.AnswerSlackMs}, {"DrainGraceMs", c.DrainGraceMs},
+		{"OverloadFactor", c.OverloadFactor}, {"TipAfterMs", c.TipAfterMs}, {"WarmWithinMs", c.WarmWithinMs},
+		{"ColdFrom", c.ColdFrom}, {"MinExtra", c.MinExtra}, {"RepeatRatio", c.RepeatRatio},
+		{"LookBackMs", c.LookBackMs},
+	} {
+		if !figure(f.v) {
+			return fmt.Errorf("headmill: %s is %v", f.name, f.v)
+		}
+	}
+	return nil
+}
+
+func figure(v float64) bool { return v >= 0 && !math.IsInf(v, 0) }
--- /dev/null
+++ b/controller.go
@@ -0,0 +1,1000 @@
+package headmill
+
+// Every decision of a front. The interface (types, events, actions) is in api.go.
+//
+// Path of a request: Step hands EvRequest to arrive, which calls place. place asks price for the rung that
+// the holders' links can pay for, tests the title's token holder (admits), passes the token to the
+// least-loaded holder that admits, makes room by lowering own sessions, or tries a lower rung; send is the
+// only place that emits a set-up and holds every rule guard (legal). If nothing fits, answer ends the request.
+// EvPlaying, EvNote and EvSettled feed the server view; tick lowers and raises rungs and looks for silence.
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+)
+
+const (
+	mark         = 0.90   // share of a link or uplink that set-ups may fill; the rest covers the spread of rates
+	reliefAt     = 0.97   // load above which own sessions are lowered: shortfall starts just above 1
+	reliefTo     = 0.90   // load that a relief aims at, the mark of admission
+	raiseTo      = 0.80   // load that raising a playing session may reach: leaves room for new sessions
+	tickMs       = 250.0  // ms between looks at the fleet: well under the second after which viewers notice
+	payback      = 2.0    // a rung is raised only for this many times the price of the change
+	lifeGuessS   = 15.0   // s a session of unknown length is taken to go on
+	settleMs     = 4000.0 // ms for which a changed rung is not raised again, against flapping
+	reportAgeMs  = 400.0  // ms that a load report is taken to be old
+	firstTryPart = 0.45   // share of the time left that a repeatable attempt may take when another can follow
+	trialMs      = 1000.0 // ms a failed server rests at first; doubles with each failure in a row
+	trialMaxMs   = 8000.0 // ms it rests at most
+	silentParts  = 1.6    // told intervals without a word after which a server counts as silent
+	silentMs     = 500.0  // ms on top, for the spread of notes
+	guessLoad    = 0.5    // load of a fleet of which nothing has been heard
+	logEveryMs   = 2000.0 // ms between log lines about one server
+	tickTimer    = 1
+)
+
+// change is a change of the front's own rates on a gauge, kept until a measurement includes it.
+type change struct{ at, kb float64 }
+
+// gauge is the load estimate of one link or uplink: what was told, and own changes since.
+type gauge struct {
+	cap, own   float64 // kB/s: what it gives (believed), what own sessions ask
+	told, at   float64 // asked over given, and when that was measured
+	known      bool
+	eased      float64 // time of the last relief; none follows before a later measurement
+	log        []change
+	heardShare float64
+}
+
+func (g *gauge) add(now, kb float64) {
+	g.own += kb
+	g.log = append(g.log, change{now, kb})
+	if len(g.log) > 64 && !g.known {
+		g.log = g.log[1:]
+	}
+}
+
+func (g *gauge) tell(at, load float64) {
+	if !(load >= 0) || math.IsInf(load, 0) || (g.known && at < g.at) {
+		return
+	}
+	g.told, g.at, g.known = load, at, true
+	k := 0
+	for k < len(g.log) && g.log[k].at <= at {
+		k++
+	}
+	g.log = g.log[:copy(g.log, g.log[k:])]
+}
+
+func (g *gauge) load(absent float64) float64 {
+	v := absent
+	if g.known {
+		v = g.told
+		for _, c := range g.log {
+			v += c.kb / g.cap
+		}
+	}
+	return math.Max(v, g.own/g.cap)
+}
+
+// server is the view of one media server.
+type server struct {
+	Server
+	rack     *rack
+	off      bool // draining or gone, from the moment it was told
+	link     gauge
+	streams  float64 // told streams less own, -1 when never told
+	sessions []*session
+	fails    int     // set-ups failed in a row
+	until    float64 // no set-up before this time
+	lost     bool    // seen to fail as a whole: cold when it answers again
+	coldAt   float64 // start of its warm-up as far as known; 0 = warm
+	lastCold float64 // last set-up sent while cold
+	pending  int
+	heard    float64
+	logged   float64
+}
+
+type rack struct {
+	up      gauge
+	servers []*server
+}
+
+// session is one request from arrival to end.
+type session struct {
+	id         SessionID
+	class      *Class
+	classNo    int
+	tenant     int
+	title      uint64
+	home, n    int
+	top        int
+	deadline   float64
+	endGuess   float64
+	server     *server // of the attempt that is out or plays
+	rung       int
+	playing    bool
+	noted      bool
+	tries      int
+	tried      []ServerID
+	mayHaveRun bool
+	ranAt      float64
+	ranOn      *server
+	changed    float64
+}
+
+type seatKey struct {
+	title uint64
+	class int
+}
+
+// Controller is one front's state.
+type Controller struct {
+	cfg      Config
+	rng      *rand.Rand
+	now      float64
+	out      []Action
+	servers  map[ServerID]*server
+	order    []*server // by id: the order of every walk
+	cells    [][]*server
+	racks    []*rack
+	sessions map[SessionID]*session
+	seats    map[seatKey]int
+	tokens   map[uint64]*server
+	taken    []float64 // times of requests within the look-back
+	extras   []float64 // times of further attempts within it
+	ticking  bool
+	began    float64
+	scratch  []*server
+	pool     []*session
+}
+
+// New makes the controller of one front. It owns all its state; seed is its only source of chance.
+func New(cfg Config, seed uint64) (*Controller, error) {
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	c := &Controller{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x6865616d)), servers: map[ServerID]*server{},
+		sessions: map[SessionID]*session{}, seats: map[seatKey]int{}, tokens: map[uint64]*server{},
+		cells: make([][]*server, cfg.Cells), began: -1}
+	for range cfg.Racks {
+		c.racks = append(c.racks, &rack{up: gauge{cap: math.Max(cfg.UplinkKB, 1)}})
+	}
+	return c, nil
+}
+
+// Step takes the events of one moment in their order and appends the actions to out.
+func (c *Controller) Step(now float64, events []Event, out []Action) []Action {
+	c.now, c.out = now, out
+	if c.began < 0 {
+		c.began = now
+	}
+	for i := range events {
+		ev := &events[i]
+		switch ev.Kind {
+		case EvServers:
+			c.list(ev)
+		case EvRequest:
+			c.arrive(ev)
+		case EvExisting:
+			c.existing(ev)
+		case EvPlaying:
+			c.playing(ev)
+		case EvNote:
+			c.note(ev)
+		case EvSettled:
+			c.settled(ev)
+		case EvGone:
+			if s := c.sessions[ev.Session]; s != nil && s.server == nil {
+				delete(c.sessions, s.id)
+			}
+		case EvTimer:
+			c.ticking = false
+			c.tick()
+		case EvProbed:
+			c.probed(ev)
+		}
+	}
+	if !c.ticking {
+		c.ticking = true
+		c.out = append(c.out, Action{Kind: ActTimer, AtMs: now + tickMs, Timer: tickTimer})
+	}
+	return c.out
+}
+
+// ---- server view ----
+
+func (c *Controller) list(ev *Event) {
+	if ev.ListFailed {
+		c.out = append(c.out, Action{Kind: ActWatch})
+		return
+	}
+	if c.cfg.Subscribe && len(c.order) == 0 {
+		c.out = append(c.out, Action{Kind: ActWatch})
+	}
+	seen := make(map[ServerID]bool, len(ev.Servers))
+	for _, e := range ev.Servers {
+		seen[e.ID] = true
+		s := c.servers[e.ID]
+		if s == nil {
+			s = &server{Server: e, streams: -1, rack: c.racks[e.Cell%c.cfg.Racks], coldAt: e.UpSinceMs}
+			c.servers[e.ID] = s
+			c.order = append(c.order, s)
+			s.rack.servers = append(s.rack.servers, s)
+			if e.Cell < len(c.cells) {
+				c.cells[e.Cell] = append(c.cells[e.Cell], s)
+			}
+		} else if e.UpSinceMs > s.UpSinceMs { // restarted: cold, and what it had is gone
+			s.coldAt, s.lost, s.fails, s.until, s.link.known = e.UpSinceMs, false, 0, 0, false
+		}
+		s.Server, s.off = e, e.Health != Ready
+	}
+	if !ev.Delta {
+		for _, s := range c.order {
+			if !seen[s.ID] {
+				s.off = true
+			}
+		}
+	}
+	byID := func(l []*server) {
+		sort.Slice(l, func(i, j int) bool { return l[i].ID < l[j].ID })
+	}
+	byID(c.order)
+	for _, cell := range c.cells {
+		byID(cell)
+	}
+	for _, r := range c.racks {
+		byID(r.servers)
+	}
+	c.sizes()
+}
+
+// sizes shares out the told links by weight, or where weights tell nothing by the places of each kind.
+func (c *Controller) sizes() {
+	total := 0.0
+	for _, s := range c.order {
+		if s.Health != Gone {
+			total += c.places(s)
+		}
+	}
+	for _, s := range c.order {
+		switch {
+		case c.cfg.WeightsKnown && c.cfg.LinkUnitKB > 0:
+			s.link.cap = math.Max(s.Weight, 0.01) * c.cfg.LinkUnitKB
+		case c.cfg.AllLinksKB > 0 && total > 0 && c.began == c.now:
+			s.link.cap = c.cfg.AllLinksKB * c.places(s) / total
+		}
+		if s.link.cap == 0 {
+			s.link.cap = math.Max(c.cfg.LinkUnitKB, c.cfg.RateKB[0])
+		}
+	}
+}
+
+func (c *Controller) places(s *server) float64 {
+	if s.Kind < len(c.cfg.Places) {
+		return float64(c.cfg.Places[s.Kind])
+	}
+	return math.Inf(1)
+}
+
+// average is the mean link load of the servers that have been heard: unheard ones count as that.
+func (c *Controller) average() float64 {
+	sum, n := 0.0, 0.0
+	for _, s := range c.order {
+		if s.link.known && !s.off {
+			sum, n = sum+s.link.load(0), n+1
+		}
+	}
+	if n == 0 {
+		return guessLoad
+	}
+	return sum / n
+}
+
+// linkLoad and rackLoad are the one estimate of a link and of an uplink.
+func (c *Controller) linkLoad(s *server) float64 {
+	if s.link.known {
+		return s.link.load(0)
+	}
+	return s.link.load(c.average())
+}
+
+func (c *Controller) rackLoad(r *rack) float64 {
+	if r.up.known {
+		return r.up.load(0)
+	}
+	asked := 0.0
+	for _, s := range r.servers {
+		if !s.off {
+			asked += c.linkLoad(s) * s.link.cap
+		}
+	}
+	return r.up.load(asked / r.up.cap)
+}
+
+func (c *Controller) load(s *server) float64 { return math.Max(c.linkLoad(s), c.rackLoad(s.rack)) }
+
+func (c *Controller) cold(s *server) bool {
+	return s.coldAt > 0 && c.now-s.coldAt < c.cfg.WarmWithinMs
+}
+
+func (c *Controller) failed(s *server, why string) {
+	s.fails++
+	rest := math.Min(trialMs*math.Pow(2, float64(s.fails-1)), trialMaxMs)
+	s.until = c.now + rest*(0.75+0.5*c.rng.Float64())
+	c.say(s, why)
+}
+
+func (c *Controller) say(s *server, why string) {
+	if c.now-s.logged < logEveryMs && s.logged > 0 {
+		return
+	}
+	s.logged = c.now
+	id := uint64(s.ID)
+	c.out = append(c.out, Action{Kind: ActLog, Text: fmt.Sprintf("server %d.%d.%d.%d:%d %s; link %.2f uplink %.2f",
+		id&255, id>>8&255, id>>16&255, id>>24&255, id>>32, why, c.linkLoad(s), c.rackLoad(s.rack))})
+}
+
+func (c *Controller) works(s *server) {
+	s.heard = c.now
+	if s.lost {
+		s.lost, s.coldAt = false, c.now
+	}
+	s.fails, s.until = 0, 0
+}
+
+func (c *Controller) report(s *server, r *Report) {
+	if !r.Told {
+		return
+	}
+	at := c.now - reportAgeMs
+	if r.Link >= 0 {
+		s.link.tell(at, r.Link)
+	}
+	if r.Uplink >= 0 {
+		s.rack.up.tell(at, r.Uplink)
+	}
+	if r.Streams >= 0 {
+		s.streams = math.Max(0, r.Streams-float64(len(s.sessions)))
+	}
+}
+
+// ---- sessions on servers ----
+
+func (c *Controller) rate(class *Class, rung int) float64 { return c.cfg.RateKB[rung] * class.Scale }
+
+func (c *Controller) attach(s *session, v *server, rung int) {
+	s.server, s.rung = v, rung
+	v.sessions = append(v.sessions, s)
+	kb := c.rate(s.class, rung)
+	v.link.add(c.now, kb)
+	v.rack.up.add(c.now, kb)
+	c.seats[seatKey{s.title, s.classNo}]++
+}
+
+func (c *Controller) detach(s *session) {
+	v := s.server
+	for i, o := range v.sessions {
+		if o == s {
+			v.sessions = append(v.sessions[:i], v.sessions[i+1:]...)
+			break
+		}
+	}
+	kb := c.rate(s.class, s.rung)
+	v.link.add(c.now, -kb)
+	v.rack.up.add(c.now, -kb)
+	if !s.playing {
+		v.pending--
+	}
+	k := seatKey{s.title, s.classNo}
+	if c.seats[k]--; c.seats[k] <= 0 {
+		delete(c.seats, k)
+	}
+	s.server, s.playing = nil, false
+}
+
+// setRung is the only place that emits a rung: never under the floor, over the class or over the viewer.
+func (c *Controller) setRung(s *session, rung int) {
+	rung = max(min(rung, s.top), s.class.Floor)
+	if s.server == nil || rung == s.rung {
+		return
+	}
+	kb := c.rate(s.class, rung) - c.rate(s.class, s.rung)
+	s.server.link.add(c.now, kb)
+	s.server.rack.up.add(c.now, kb)
+	s.rung, s.changed = rung, c.now
+	c.out = append(c.out, Action{Kind: ActRung, Session: s.id, Rung: rung})
+}
+
+func (c *Controller) newSession(ev *Event) *session {
+	k := &c.cfg.Classes[min(ev.Class, len(c.cfg.Classes)-1)]
+	s := &session{id: ev.Session, class: k, classNo: ev.Class, tenant: ev.Tenant, title: ev.Title,
+		home: ev.Home, n: ev.Copies, deadline: c.now + ev.RemainingMs,
+		top: min(ev.TopRung, k.Top, len(c.cfg.RateKB)-1)}
+	if ev.HintMs > 0 {
+		s.endGuess = c.now + ev.HintMs
+	}
+	c.sessions[s.id] = s
+	return s
+}
+
+func (c *Controller) existing(ev *Event) {
+	s, v := c.newSession(ev), c.servers[ev.Server]
+	if v == nil {
+		return
+	}
+	s.tries = 1
+	c.attach(s, v, s.class.Floor)
+	s.playing = true
+	v.heard = c.now
+}
+
+// ---- the ordinary path ----
+
+func (c *Controller) arrive(ev *Event) {
+	s := c.newSession(ev)
+	if c.cfg.RetryRationed {
+		c.taken = append(c.taken, c.now)
+	}
+	if s.top < s.class.Floor {
+		c.answer(s)
+		return
+	}
+	c.place(s)
+}
+
+// holders are the servers that hold the title and may be sent to by rule and by health.
+func (c *Controller) holders(s *session) []*server {
+	c.scratch = c.scratch[:0]
+	for j := 0; j < s.n && j < len(c.cells); j++ {
+		for _, v := range c.cells[(s.home+j)%len(c.cells)] {
+			if c.legal(s, v) && c.healthy(s, v) {
+				c.scratch = append(c.scratch, v)
+			}
+		}
+	}
+	return c.scratch
+}
+
+func (c *Controller) healthy(s *session, v *server) bool {
+	if c.now < v.until || (v.fails > 0 && (v.pending > 0 || s.class.Repeat == Once)) {
+		return false
+	}
+	for _, id := range s.tried {
+		if id == v.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// admits is the link-and-stream test: the rung's rate must fit under the mark on the link and the uplink.
+func (c *Controller) admits(v *server, kb float64) bool {
+	return c.linkLoad(v)+kb/v.link.cap <= mark && c.rackLoad(v.rack)+kb/v.rack.up.cap <= mark && c.hasPlace(v)
+}
+
+func (c *Controller) hasPlace(v *server) bool {
+	return math.Max(v.streams, 0)+float64(len(v.sessions)) < c.places(v)
+}
+
+func (c *Controller) place(s *session) {
+	holders := c.holders(s)
+	if len(holders) == 0 {
+		c.answer(s)
+		return
+	}
+	want := c.bestRung(s, c.price(holders, s))
+	token := c.tokens[s.title]
+	if token == nil {
+		token = home(holders, s.title)
+	}
+	for rung := want; rung >= s.class.Floor; rung-- {
+		kb := c.rate(s.class, rung)
+		if v := c.pick(holders, token, kb); v != nil {
+			c.tokens[s.title] = v
+			c.send(s, v, rung)
+			return
+		}
+		if v := c.makeRoom(s, holders, rung, kb); v != nil {
+			c.tokens[s.title] = v
+			c.send(s, v, rung)
+			return
+		}
+	}
+	c.answer(s)
+}
+
+// pick keeps the token where it is while its holder admits, else finds the least-loaded holder that does.
+func (c *Controller) pick(holders []*server, token *server, kb float64) *server {
+	var heir *server
+	least := math.Inf(1)
+	for _, v := range holders {
+		if !c.admits(v, kb) {
+			continue
+		}
+		if v == token {
+			return v
+		}
+		if l := c.load(v); l < least {
+			heir, least = v, l
+		}
+	}
+	return heir
+}
+
+// home is the first holder of a title's token: rendezvous hashing, alike at every front.
+func home(holders []*server, title uint64) *server {
+	var best *server
+	top := uint64(0)
+	for _, v := range holders {
+		h := mix(mix(title) ^ uint64(v.ID))
+		if best == nil || h > top {
+			best, top = v, h
+		}
+	}
+	return best
+}
+
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// worth of a second of a session at a rung.
+func (c *Controller) worth(s *session, rung int) float64 {
+	return s.class.Value * c.cfg.RungWorth[rung]
+}
+
+// bestRung is the rung with the most worth left after its rate is paid for at the price.
+func (c *Controller) bestRung(s *session, price float64) int {
+	best, most := s.class.Floor, math.Inf(-1)
+	for r := s.class.Floor; r <= s.top; r++ {
+		if v := c.worth(s, r) - price*c.rate(s.class, r); v > most {
+			best, most = r, v
+		}
+	}
+	return best
+}
+
+// effective is what a server can carry once its rack's uplink is shared out among the rack's links.
+func (c *Controller) effective(v *server) float64 {
+	links := 0.0
+	for _, o := range v.rack.servers {
+		if !o.off {
+			links += o.link.cap
+		}
+	}
+	return v.link.cap * math.Min(1, v.rack.up.cap/math.Max(links, 1))
+}
+
+// price is the worth of a kB/s at which this front's sessions on the holders, the newcomer included, would
+// just fill its part of what they carry. Departure from "the viewer's highest rung first".
+func (c *Controller) price(holders []*server, s *session) float64 {
+	c.pool = append(c.pool[:0], s)
+	own, asked, room := 0.0, 0.0, 0.0
+	for _, v := range holders {
+		own += v.link.own
+		asked += math.Max(c.linkLoad(v)*v.link.cap, v.link.own)
+		room += c.effective(v) * mark
+		c.pool = append(c.pool, v.sessions...)
+	}
+	mid := c.cfg.RateKB[len(c.cfg.RateKB)/2]
+	budget := room * math.Min(1, (own+mid)/(asked+mid*float64(c.cfg.Fronts)))
+	low, high := 0.0, 0.0
+	for i := range c.cfg.Classes {
+		k := &c.cfg.Classes[i]
+		high = math.Max(high, 2*k.Value*c.cfg.RungWorth[len(c.cfg.RungWorth)-1]/(c.cfg.RateKB[0]*k.Scale))
+	}
+	for range 20 {
+		p := (low + high) / 2
+		sum := 0.0
+		for _, o := range c.pool {
+			sum += c.rate(o.class, c.bestRung(o, p))
+		}
+		if sum > budget {
+			low = p
+		} else {
+			high = p
+		}
+	}
+	return high
+}
+
+// loss is the worth given up for each kB/s freed when a session goes down one rung.
+func (c *Controller) loss(s *session) float64 {
+	if s.rung <= s.class.Floor {
+		return math.Inf(1)
+	}
+	return (c.worth(s, s.rung) - c.worth(s, s.rung-1)) / (c.rate(s.class, s.rung) - c.rate(s.class, s.rung-1))
+}
+
+// makeRoom lowers own sessions that earn less for their last kB than the newcomer would, at the
+// least-loaded holder. It acts only when no holder admits the newcomer at that rung.
+func (c *Controller) makeRoom(s *session, holders []*server, rung int, kb float64) *server {
+	var v *server
+	for _, h := range holders {
+		if c.hasPlace(h) && (v == nil || c.load(h) < c.load(v)) {
+			v = h
+		}
+	}
+	if v == nil {
+		return nil
+	}
+	link := kb - (mark-c.linkLoad(v))*v.link.cap
+	up := kb - (mark-c.rackLoad(v.rack))*v.rack.up.cap
+	gain := c.worth(s, rung) / kb
+	c.pool = append(c.pool[:0], v.sessions...)
+	if up > link {
+		for _, o := range v.rack.servers {
+			if o != v {
+				c.pool = append(c.pool, o.sessions...)
+			}
+		}
+	}
+	type step struct {
+		s    *session
+		rung int
+	}
+	var steps []step
+	was := make([]int, len(c.pool))
+	for i, o := range c.pool {
+		was[i] = o.rung
+	}
+	restore := func() {
+		for i, o := range c.pool {
+			o.rung = was[i]
+		}
+	}
+	for link > 0 || up > 0 {
+		var best *session
+		least := gain
+		for _, o := range c.pool {
+			if link > 0 && o.server != v {
+				continue
+			}
+			if l := c.loss(o); l < least {
+				best, least = o, l
+			}
+		}
+		if best == nil {
+			restore()
+			return nil
+		}
+		d := c.rate(best.class, best.rung) - c.rate(best.class, best.rung-1)
+		best.rung--
+		up -= d
+		if best.server == v {
+			link -= d
+		}
+	}
+	for i, o := range c.pool {
+		if o.rung != was[i] {
+			steps = append(steps, step{o, o.rung})
+		}
+	}
+	restore()
+	for _, st := range steps {
+		c.setRung(st.s, st.rung)
+	}
+	return v
+}
+
+// ---- attempts and rule guards ----
+
+// legal holds the rules that forbid a set-up of s at v now; send asks it for every set-up.
+func (c *Controller) legal(s *session, v *server) bool {
+	if v.off || s.server != nil || c.now >= s.deadline || s.tries >= c.cfg.MaxAttempts {
+		return false // drains; one attempt at a time; deadline; attempts
+	}
+	if k := s.class; k.Seats > 0 && c.seats[seatKey{s.title, s.classNo}] >= k.Seats {
+		return false // terms
+	}
+	if s.mayHaveRun {
+		switch k := s.class; {
+		case k.Repeat == Once, k.Repeat == ByKey && c.now-s.ranAt > k.KeyTTLMs,
+			k.Repeat == ByKey && k.KeyScope == ScopeZone && v.Zone != s.ranOn.Zone,
+			k.Repeat == ByKey && k.KeyScope == ScopeCell && v.Cell != s.ranOn.Cell:
+			return false // no effect twice
+		}
+	}
+	if s.tries > 0 && c.cfg.RetryRationed && !c.ration() {
+		return false // retry budget
+	}
+	return !c.cold(v) || c.coldTurn(v)
+}
+
+// coldTurn paces set-ups to a cold server: one each slot, and the slots go round the fronts, so that all
+// together stay under its slowest pace without a word between them.
+func (c *Controller) coldTurn(v *server) bool {
+	slot := c.cfg.WarmWithinMs / math.Max(c.places(v)*math.Max(c.cfg.ColdFrom, 0.05), 1)
+	i := math.Floor((c.now - v.coldAt) / slot)
+	if int(i)%c.cfg.Fronts != c.cfg.Me || math.IsInf(slot, 0) {
+		return false
+	}
+	return v.lastCold < v.coldAt || math.Floor((v.lastCold-v.coldAt)/slot) != i
+}
+
+func (c *Controller) ration() bool {
+	from := c.now - c.cfg.LookBackMs
+	c.taken, c.extras = after(c.taken, from), after(c.extras, from)
+	return float64(len(c.extras)+1) <= c.cfg.MinExtra+c.cfg.RepeatRatio*float64(len(c.taken))
+}
+
+func after(l []float64, t float64) []float64 {
+	k := 0
+	for k < len(l) && l[k] <= t {
+		k++
+	}
+	return l[:copy(l, l[k:])]
+}
+
+// send is the only place that emits a set-up.
+func (c *Controller) send(s *session, v *server, rung int) {
+	if !c.legal(s, v) {
+		c.answer(s)
+		return
+	}
+	left := s.deadline - c.now
+	allow := 0.0
+	if s.class.Repeat == Repeatable && s.tries+1 < c.cfg.MaxAttempts {
+		allow = math.Min(left, math.Max(s.class.AimMs, 100)) * firstTryPart
+	}
+	if s.tries > 0 && c.cfg.RetryRationed {
+		c.extras = append(c.extras, c.now)
+	}
+	if c.cold(v) {
+		v.lastCold = c.now
+	}
+	s.tries++
+	s.tried = append(s.tried, v.ID)
+	v.pending++
+	c.attach(s, v, rung)
+	s.changed = c.now
+	c.out = append(c.out, Action{Kind: ActRung, Session: s.id, Rung: rung},
+		Action{Kind: ActSend, Session: s.id, Server: v.ID, AtMs: allow})
+}
+
+// answer ends a request that nothing can be done for: refused where that is allowed, else failed.
+func (c *Controller) answer(s *session) {
+	delete(c.sessions, s.id)
+	k := s.class
+	if s.mayHaveRun && (k.Repeat == Once || k.Repeat == ByKey && k.KeyScope != ScopeAll) {
+		c.out = append(c.out, Action{Kind: ActFail, Session: s.id})
+		return
+	}
+	retry := 0.0
+	if c.cfg.RetryAfter {
+		retry = c.cfg.MaxRetryAfterMs
+	}
+	c.out = append(c.out, Action{Kind: ActRefuse, Session: s.id, RetryMs: retry})
+}
+
+// ---- outcomes and notes ----
+
+func (c *Controller) playing(ev *Event) {
+	v := c.servers[ev.Server]
+	if v != nil {
+		c.works(v)
+	}
+	if s := c.sessions[ev.Session]; s != nil && s.server != nil && !s.playing {
+		s.playing = true
+		s.server.pending--
+		if s.endGuess > 0 {
+			s.endGuess += ev.TookMs
+		}
+	}
+}
+
+func (c *Controller) note(ev *Event) {
+	v, s := c.servers[ev.Server], c.sessions[ev.Session]
+	if v == nil {
+		return
+	}
+	v.heard = c.now
+	at := c.now - c.cfg.ToldLateMs
+	if s != nil && s.playing && !s.noted && s.tries > 0 && c.now-s.changed < c.cfg.ToldLateMs {
+		at = c.now // told at set-up: it is of now and includes the session
+	}
+	switch ev.Note {
+	case NoteRung:
+		if s != nil && s.server != nil {
+			rung := max(min(int(ev.Value), len(c.cfg.RateKB)-1), 0)
+			kb := c.rate(s.class, rung) - c.rate(s.class, s.rung)
+			s.rung = rung
+			s.server.link.add(c.now, kb)
+			s.server.rack.up.add(c.now, kb)
+		}
+	case NoteLink:
+		if s != nil {
+			s.noted = true
+		}
+		v.link.tell(at, ev.Value)
+	case NoteUplink:
+		v.rack.up.tell(at, ev.Value)
+	case NoteShare:
+		c.short(v, ev.Value)
+	}
+}
+
+// short takes a share delivered as a measurement of the link, or of an uplink that is never told.
+func (c *Controller) short(v *server, share float64) {
+	if share >= 0.98 || share <= 0 {
+		return
+	}
+	x, at := 1/share, c.now-c.cfg.ToldLateMs
+	if c.load(v) < x-0.03 {
+		v.link.tell(at, x)
+	}
+}
+
+func (c *Controller) settled(ev *Event) {
+	v, s := c.servers[ev.Server], c.sessions[ev.Session]
+	was := s != nil && s.playing
+	if s != nil && s.server != nil {
+		c.detach(s)
+	}
+	if v != nil {
+		switch ev.Outcome {
+		case Served, Full:
+			v.heard = c.now
+		case Failed:
+			c.failed(v, "answers set-ups with errors")
+		case TimedOut:
+			c.failed(v, "lets set-ups time out")
+		case ConnectFailed:
+			v.lost = v.lost || v.fails > 0
+			c.failed(v, "takes no connections")
+		case Reset:
+			v.lost = true
+			c.failed(v, "broke its sessions off")
+		}
+		c.report(v, &ev.Report)
+		if ev.Outcome == Full {
+			v.link.tell(c.now, math.Max(v.link.load(0), 1))
+		}
+	}
+	if s == nil {
+		return
+	}
+	if ev.Finished || was {
+		delete(c.sessions, s.id)
+		return
+	}
+	switch ev.Outcome {
+	case Full, ConnectFailed, Moot:
+	default:
+		if !s.mayHaveRun {
+			s.mayHaveRun, s.ranAt, s.ranOn = true, c.now-ev.TookMs, v
+		}
+	}
+	c.place(s)
+}
+
+func (c *Controller) probed(ev *Event) {
+	if v := c.servers[ev.Server]; v != nil && ev.Outcome == Served {
+		c.works(v)
+		c.report(v, &ev.Report)
+	}
+}
+
+// ---- while sessions play ----
+
+func (c *Controller) tick() {
+	for _, r := range c.racks {
+		c.relieve(&r.up, c.rackLoad(r), r.servers)
+		for i, v := range r.servers {
+			c.relieve(&v.link, c.linkLoad(v), r.servers[i:i+1])
+		}
+	}
+	c.raise()
+	c.silence()
+}
+
+// relieve lowers own sessions on a link or uplink that is asked for too much, by this front's part of it.
+func (c *Controller) relieve(g *gauge, load float64, on []*server) {
+	if load <= reliefAt || !g.known || g.eased > g.at {
+		return
+	}
+	part := g.own * (load - reliefTo) / load
+	for part > 0 {
+		var best *session
+		least := math.Inf(1)
+		for _, v := range on {
+			for _, s := range v.sessions {
+				if l := c.loss(s); l < least {
+					best, least = s, l
+				}
+			}
+		}
+		if best == nil {
+			break
+		}
+		d := c.rate(best.class, best.rung) - c.rate(best.class, best.rung-1)
+		if part < d*c.rng.Float64() { // rounded by chance, so that all fronts together free the excess once
+			break
+		}
+		part -= d
+		c.setRung(best, best.rung-1)
+	}
+	g.eased = c.now
+}
+
+// raise lifts one session where room lasts; fronts take turns by the clock.
+func (c *Controller) raise() {
+	if int(c.now/1000)%c.cfg.Fronts != c.cfg.Me {
+		return
+	}
+	var best *session
+	most := 0.0
+	for _, v := range c.order {
+		if v.off || c.now < v.until || !v.link.known || c.now-v.link.at > 2*c.cfg.TellMs+c.cfg.ToldLateMs {
+			continue
+		}
+		link, up := c.linkLoad(v), c.rackLoad(v.rack)
+		if link >= raiseTo || up >= raiseTo {
+			continue
+		}
+		for _, s := range v.sessions {
+			if !s.playing || s.rung >= s.top || c.now-s.changed < settleMs {
+				continue
+			}
+			kb := c.rate(s.class, s.rung+1) - c.rate(s.class, s.rung)
+			dw := c.worth(s, s.rung+1) - c.worth(s, s.rung)
+			left := lifeGuessS
+			if s.endGuess > 0 {
+				left = (s.endGuess - c.now) / 1000
+			}
+			if link+kb/v.link.cap > raiseTo || up+kb/v.rack.up.cap > raiseTo ||
+				dw*left < payback*c.cfg.SwitchS*s.class.Value {
+				continue
+			}
+			if dw/kb > most {
+				best, most = s, dw/kb
+			}
+		}
+	}
+	if best != nil {
+		c.setRung(best, best.rung+1)
+	}
+}
+
+// silence moves sessions off a server that says nothing while others speak: nothing plays there.
+func (c *Controller) silence() {
+	if c.cfg.TellMs <= 0 {
+		return
+	}
+	limit := silentParts*c.cfg.TellMs + c.cfg.ToldLateMs + silentMs
+	var quiet []*server
+	speaking := 0
+	for _, v := range c.order {
+		oldest := c.now
+		for _, s := range v.sessions {
+			if s.playing && s.changed < oldest {
+				oldest = s.changed
+			}
+		}
+		switch {
+		case oldest == c.now:
+		case c.now-math.Max(v.heard, oldest) > limit:
+			quiet = append(quiet, v)
+		default:
+			speaking++
+		}
+	}
+	if len(quiet) > speaking {
+		return // all are silent: the notes are late, not the servers dead
+	}
+	for _, v := range quiet {
+		c.failed(v, "is silent; its sessions are moved")
+		v.lost = true
+		for _, s := range v.sessions {
+			if s.playing {
+				c.out = append(c.out, Action{Kind: ActMove, Session: s.id})
+			}
+		}
+		v.heard = c.now
+	}
+}
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,155 @@
+package wire
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"headmill"
+)
+
+// Settings is what an instance is told at its start: the module's Config and
+// the order of the load report's fields, which only the decoder needs.
+type Settings struct {
+	Config headmill.Config
+	Fields []string
+}
+
+type table struct {
+	kv  map[string]string
+	err error
+}
+
+func (t *table) str(key string) string { return t.kv[key] }
+
+func (t *table) num(key string) float64 {
+	v, ok := t.kv[key]
+	if !ok || v == "" {
+		return 0
+	}
+	f, err := strconv.ParseFloat(v, 64)
+	if err != nil && t.err == nil {
+		t.err = fmt.Errorf("wire: setting %s: %q is no number", key, v)
+	}
+	return f
+}
+
+func (t *table) int(key string) int   { return int(t.num(key)) }
+func (t *table) bool(key string) bool { return t.kv[key] == "true" }
+
+func (t *table) list(key string) []string {
+	if v := t.kv[key]; v != "" {
+		return strings.Split(v, ",")
+	}
+	return nil
+}
+
+func (t *table) nums(key string) []float64 {
+	var out []float64
+	for _, v := range t.list(key) {
+		f, err := strconv.ParseFloat(v, 64)
+		if err != nil && t.err == nil {
+			t.err = fmt.Errorf("wire: setting %s: %q is no number", key, v)
+		}
+		out = append(out, f)
+	}
+	return out
+}
+
+// count reads the length of a list of objects, bounded by the settings' own size.
+func (t *table) count(key string) int {
+	n := t.num(key + ".count")
+	if n < 0 || n > float64(len(t.kv)) {
+		if t.err == nil {
+			t.err = fmt.Errorf("wire: setting %s.count: %v is impossible", key, n)
+		}
+		return 0
+	}
+	return int(n)
+}
+
+func at(list []float64, i int, absent float64) float64 {
+	if i < len(list) {
+		return list[i]
+	}
+	return absent
+}
+
+// ParseSettings translates path=value lines; unknown keys are skipped.
+func ParseSettings(text string) (Settings, error) {
+	t := &table{kv: make(map[string]string)}
+	for _, line := range strings.Split(text, "\n") {
+		line = strings.TrimRight(line, "\r")
+		if line == "" {
+			continue
+		}
+		key, value, ok := strings.Cut(line, "=")
+		if !ok {
+			return Settings{}, fmt.Errorf("wire: settings line %q has no '='", line)
+		}
+		t.kv[key] = value
+	}
+	fam := "family_info."
+	floors, tops := t.nums(fam+"floor_by_class"), t.nums(fam+"top_by_class")
+	scales, seats, live := t.nums(fam+"scale_by_class"), t.nums(fam+"class_seats"), t.list(fam+"live")
+	_, rationed := t.kv["safety.repeat_ratio"]
+	_, least := t.kv["safety.min_extra"]
+	c := headmill.Config{
+		Me: t.int("me"), Fronts: t.int("replicas_of_me"), Zone: t.int("zone"),
+		OverShareWorth: t.num("over_share_worth"),
+		RateKB:         t.nums(fam + "level_kb"), RungWorth: t.nums(fam + "ladder_worth"),
+		Cells: t.int(fam + "cells"), Racks: t.int(fam + "racks"),
+		LinkUnitKB: t.num(fam + "link_unit_kb"), AllLinksKB: t.num(fam + "all_links_kb"),
+		UplinkKB: t.num(fam + "uplink_kb"), WeightsKnown: t.str("weights") != "off" && t.str("weights") != "",
+		GuardAt: t.num(fam + "guard"), Join: t.num(fam + "join"),
+		ShortfallCost: t.num(fam + "shortfall_cost"), SwitchS: t.num(fam + "switch_s"),
+		TellMs: t.num(fam + "tell_ms"), ToldLateMs: t.num(fam + "told_late_ms"),
+		MaxAttempts: t.int("allowed.max_attempts"), ConnectMs: t.num("allowed.connect_timeout_ms"),
+		MaxRetryAfterMs: t.num("allowed.max_retry_after_ms"), RetryAfter: t.bool("allowed.retry_after"),
+		CanCancel: t.bool("allowed.cancel"), CanProbe: t.bool("allowed.probing"), CanPost: t.bool("allowed.peers"),
+		MoveCost: t.num("deductions.moves"), CrossZoneCost: t.num("deductions.cross_zone"),
+		ProbeCost: t.num("deductions.probe"), Subscribe: t.str("discovery") == "subscribe",
+		AnswerSlackMs: t.num("safety.answer_slack_ms"), DrainGraceMs: t.num("safety.drain_grace_ms"),
+		OverloadFactor: t.num("safety.overload_factor"), TipAfterMs: t.num("safety.tip_after_ms"),
+		WarmWithinMs: t.num("safety.warm_within_ms"), ColdFrom: t.num("safety.cold_from"),
+		RetryRationed: rationed || least, MinExtra: t.num("safety.min_extra"),
+		RepeatRatio: t.num("safety.repeat_ratio"), LookBackMs: t.num("safety.look_back_ms"),
+	}
+	for _, p := range t.nums(fam + "places_by_kind") {
+		c.Places = append(c.Places, int(p))
+	}
+	for i := range t.count("categories") {
+		p := fmt.Sprintf("categories.%d.", i)
+		k := headmill.Class{AimMs: t.num(p + "slo_ms"), GiveUpMs: t.num(p + "give_up_ms"),
+			KeyTTLMs: t.num(p + "key_ttl_ms"), Value: t.num(p + "value"),
+			Scale: at(scales, i, 1), Floor: int(at(floors, i, 0)),
+			Top: int(at(tops, i, float64(len(c.RateKB)-1))), Seats: int(at(seats, i, 0)),
+			Live: i < len(live) && live[i] == "true"}
+		switch t.str(p + "semantics") {
+		case "repeatable":
+		case "by_key":
+			k.Repeat = headmill.ByKey
+		default: // a word that is not known is taken as the strictest one
+			k.Repeat = headmill.Once
+		}
+		switch t.str(p + "key_scope") {
+		case "zone":
+			k.KeyScope = headmill.ScopeZone
+		case "cell":
+			k.KeyScope = headmill.ScopeCell
+		}
+		c.Classes = append(c.Classes, k)
+	}
+	for i := range t.count("tenants") {
+		p := fmt.Sprintf("tenants.%d.", i)
+		c.Tenants = append(c.Tenants, headmill.Tenant{
+			AllowancePerS: t.num(p + "allowance_per_s"), Share: t.num(p + "share")})
+	}
+	for name, list := range map[string]int{"floor_by_class": len(floors), "top_by_class": len(tops),
+		"scale_by_class": len(scales), "class_seats": len(seats), "live": len(live)} {
+		if list != 0 && list != len(c.Classes) && t.err == nil {
+			t.err = fmt.Errorf("wire: setting %s%s has %d values for %d classes", fam, name, list, len(c.Classes))
+		}
+	}
+	return Settings{Config: c, Fields: t.list("feedback.fields")}, t.err
+}
