Do not move sessions off silent servers; read set-up notes as of now

Servers that vanish reset their sessions within seconds anyway. It may hurt where a dead server never resets: its sessions then wait for the server list.

--- a/controller.go
+++ b/controller.go
@@ -6,7 +6,7 @@
 // the holders' links can pay for, tests the title's token holder (admits), passes the token to the
 // least-loaded holder that admits, makes room by lowering own sessions, or tries a lower rung; send is the
 // only place that emits a set-up and holds every rule guard (legal). If nothing fits, answer ends the request.
-// EvPlaying, EvNote and EvSettled feed the server view; tick lowers and raises rungs and looks for silence.
+// EvPlaying, EvNote and EvSettled feed the server view; tick lowers and raises rungs of playing sessions.
 
 import (
 	"fmt"
@@ -28,8 +28,6 @@
 	firstTryPart = 0.45   // share of the time left that a repeatable attempt may take when another can follow
 	trialMs      = 1000.0 // ms a failed server rests at first; doubles with each failure in a row
 	trialMaxMs   = 8000.0 // ms it rests at most
-	silentParts  = 1.6    // told intervals without a word after which a server counts as silent
-	silentMs     = 500.0  // ms on top, for the spread of notes
 	guessLoad    = 0.5    // load of a fleet of which nothing has been heard
 	logEveryMs   = 2000.0 // ms between log lines about one server
 	tickTimer    = 1
@@ -40,12 +38,11 @@
 
 // gauge is the load estimate of one link or uplink: what was told, and own changes since.
 type gauge struct {
-	cap, own   float64 // kB/s: what it gives (believed), what own sessions ask
-	told, at   float64 // asked over given, and when that was measured
-	known      bool
-	eased      float64 // time of the last relief; none follows before a later measurement
-	log        []change
-	heardShare float64
+	cap, own float64 // kB/s: what it gives (believed), what own sessions ask
+	told, at float64 // asked over given, and when that was measured
+	known    bool
+	eased    float64 // time of the last relief; none follows before a later measurement
+	log      []change
 }
 
 func (g *gauge) add(now, kb float64) {
@@ -93,7 +90,6 @@
 	coldAt   float64 // start of its warm-up as far as known; 0 = warm
 	lastCold float64 // last set-up sent while cold
 	pending  int
-	heard    float64
 	logged   float64
 }
 
@@ -116,7 +112,6 @@
 	server     *server // of the attempt that is out or plays
 	rung       int
 	playing    bool
-	noted      bool
 	tries      int
 	tried      []ServerID
 	mayHaveRun bool
@@ -338,7 +333,6 @@
 }
 
 func (c *Controller) works(s *server) {
-	s.heard = c.now
 	if s.lost {
 		s.lost, s.coldAt = false, c.now
 	}
@@ -428,7 +422,6 @@
 	s.tries = 1
 	c.attach(s, v, s.class.Floor)
 	s.playing = true
-	v.heard = c.now
 }
 
 // ---- the ordinary path ----
@@ -793,10 +786,9 @@
 	if v == nil {
 		return
 	}
-	v.heard = c.now
 	at := c.now - c.cfg.ToldLateMs
-	if s != nil && s.playing && !s.noted && s.tries > 0 && c.now-s.changed < c.cfg.ToldLateMs {
-		at = c.now // told at set-up: it is of now and includes the session
+	if s != nil && !s.playing {
+		at = c.now // told at set-up, ahead of EvPlaying: it is of now and includes the session
 	}
 	switch ev.Note {
 	case NoteRung:
@@ -808,9 +800,6 @@
 			s.server.rack.up.add(c.now, kb)
 		}
 	case NoteLink:
-		if s != nil {
-			s.noted = true
-		}
 		v.link.tell(at, ev.Value)
 	case NoteUplink:
 		v.rack.up.tell(at, ev.Value)
@@ -839,7 +828,6 @@
 	if v != nil {
 		switch ev.Outcome {
 		case Served, Full:
-			v.heard = c.now
 		case Failed:
 			c.failed(v, "answers set-ups with errors")
 		case TimedOut:
@@ -890,7 +878,6 @@
 		}
 	}
 	c.raise()
-	c.silence()
 }
 
 // relieve lowers own sessions on a link or uplink that is asked for too much, by this front's part of it.
@@ -960,41 +947,3 @@
 		c.setRung(best, best.rung+1)
 	}
 }
-
-// silence moves sessions off a server that says nothing while others speak: nothing plays there.
-func (c *Controller) silence() {
-	if c.cfg.TellMs <= 0 {
-		return
-	}
-	limit := silentParts*c.cfg.TellMs + c.cfg.ToldLateMs + silentMs
-	var quiet []*server
-	speaking := 0
-	for _, v := range c.order {
-		oldest := c.now
-		for _, s := range v.sessions {
-			if s.playing && s.changed < oldest {
-				oldest = s.changed
-			}
-		}
-		switch {
-		case oldest == c.now:
-		case c.now-math.Max(v.heard, oldest) > limit:
-			quiet = append(quiet, v)
-		default:
-			speaking++
-		}
-	}
-	if len(quiet) > speaking {
-		return // all are silent: the notes are late, not the servers dead
-	}
-	for _, v := range quiet {
-		c.failed(v, "is silent; its sessions are moved")
-		v.lost = true
-		for _, s := range v.sessions {
-			if s.playing {
-				c.out = append(c.out, Action{Kind: ActMove, Session: s.id})
-			}
-		}
-		v.heard = c.now
-	}
-}
