--- a/controller.go
+++ b/controller.go
@@ -422,6 +422,7 @@
 	s.tries = 1
 	c.attach(s, v, s.class.Floor)
 	s.playing = true
+	v.link.log, v.rack.up.log = v.link.log[:len(v.link.log)-1], v.rack.up.log[:len(v.rack.up.log)-1]
 }
 
 // ---- the ordinary path ----
@@ -796,8 +797,8 @@
 			rung := max(min(int(ev.Value), len(c.cfg.RateKB)-1), 0)
 			kb := c.rate(s.class, rung) - c.rate(s.class, s.rung)
 			s.rung = rung
-			s.server.link.add(c.now, kb)
-			s.server.rack.up.add(c.now, kb)
+			s.server.link.own += kb // asked before now: no change since the last measurement
+			s.server.rack.up.own += kb
 		}
 	case NoteLink:
 		v.link.tell(at, ev.Value)
