--- a/controller.go
+++ b/controller.go
@@ -118,6 +118,7 @@
 	ranAt      float64
 	ranOn      *server
 	changed    float64
+	playedAt   float64
 }
 
 type seatKey struct {
@@ -774,7 +775,7 @@
 		c.works(v)
 	}
 	if s := c.sessions[ev.Session]; s != nil && s.server != nil && !s.playing {
-		s.playing = true
+		s.playing, s.playedAt = true, c.now
 		s.server.pending--
 		if s.endGuess > 0 {
 			s.endGuess += ev.TookMs
@@ -788,8 +789,8 @@
 		return
 	}
 	at := c.now - c.cfg.ToldLateMs
-	if s != nil && !s.playing {
-		at = c.now // told at set-up, ahead of EvPlaying: it is of now and includes the session
+	if s != nil && (!s.playing || s.playedAt == c.now) {
+		at = c.now // told at set-up, in the batch of EvPlaying: it is of now and includes the session
 	}
 	switch ev.Note {
 	case NoteRung:
