Old measurements and stream counts fade; raise on every server in a turn

Should also hold for lost notes and cut links. May hurt by tries at servers that are still full: they answer so within a round trip, or fall short where no guard is set.

--- a/controller.go
+++ b/controller.go
@@ -16,20 +16,26 @@
 )
 
 const (
-	mark         = 0.90   // share of a link or uplink that set-ups may fill; the rest covers the spread of rates
-	reliefAt     = 0.97   // load above which own sessions are lowered: shortfall starts just above 1
-	reliefTo     = 0.90   // load that a relief aims at, the mark of admission
-	raiseTo      = 0.80   // load that raising a playing session may reach: leaves room for new sessions
-	tickMs       = 250.0  // ms between looks at the fleet: well under the second after which viewers notice
-	payback      = 2.0    // a rung is raised only for this many times the price of the change
-	lifeGuessS   = 15.0   // s a session of unknown length is taken to go on
-	settleMs     = 4000.0 // ms for which a changed rung is not raised again, against flapping
-	reportAgeMs  = 400.0  // ms that a load report is taken to be old
-	firstTryPart = 0.45   // share of the time left that a repeatable attempt may take when another can follow
-	trialMs      = 1000.0 // ms a failed server rests at first; doubles with each failure in a row
-	trialMaxMs   = 8000.0 // ms it rests at most
-	guessLoad    = 0.5    // load of a fleet of which nothing has been heard
-	logEveryMs   = 2000.0 // ms between log lines about one server
+	mark         = 0.90    // share of a link or uplink that set-ups may fill; the rest covers the spread of rates
+	reliefAt     = 0.97    // load above which own sessions are lowered: shortfall starts just above 1
+	reliefTo     = 0.90    // load that a relief aims at, the mark of admission
+	raiseTo      = 0.80    // load that raising a playing session may reach: leaves room for new sessions
+	tickMs       = 250.0   // ms between looks at the fleet: well under the second after which viewers notice
+	payback      = 2.0     // a rung is raised only for this many times the price of the change
+	lifeGuessS   = 15.0    // s a session of unknown length is taken to go on
+	turnMs       = 1000.0  // ms of a front's turn at raising, so that no two fill the same room
+	settleMs     = 4000.0  // ms for which a changed rung is not raised again, against flapping
+	reportAgeMs  = 400.0   // ms that a load report is taken to be old
+	firstTryPart = 0.45    // share of the time left that a repeatable attempt may take when another can follow
+	trialMs      = 1000.0  // ms a failed server rests at first; doubles with each failure in a row
+	trialMaxMs   = 8000.0  // ms it rests at most
+	fullLink     = 0.7     // a server that is full under this told load lacks streams, not rate
+	staleTo      = 0.8     // load to which an old measurement above it fades: low rungs are tried there again
+	staleFadeMs  = 3000.0  // ms in which it fades by two thirds
+	spareMs      = 1000.0  // ms past the told interval and lateness after which a measurement is old
+	streamFadeMs = 15000.0 // ms in which told streams of others fade by two thirds: sessions end unseen
+	guessLoad    = 0.5     // load of a fleet of which nothing has been heard
+	logEveryMs   = 2000.0  // ms between log lines about one server
 	tickTimer    = 1
 )
 
@@ -65,13 +71,17 @@
 	g.log = g.log[:copy(g.log, g.log[k:])]
 }
 
-func (g *gauge) load(absent float64) float64 {
+func (g *gauge) load(now, stale, absent float64) float64 {
 	v := absent
 	if g.known {
 		v = g.told
 		for _, c := range g.log {
 			v += c.kb / g.cap
 		}
+		// An old high load is believed less and less: without set-ups nothing new would be told.
+		if age := now - g.at - stale; age > 0 && v > staleTo {
+			v = staleTo + (v-staleTo)*math.Exp(-age/staleFadeMs)
+		}
 	}
 	return math.Max(v, g.own/g.cap)
 }
@@ -83,6 +93,7 @@
 	off      bool // draining or gone, from the moment it was told
 	link     gauge
 	streams  float64 // told streams less own, -1 when never told
+	counted  float64 // when streams was told
 	sessions []*session
 	fails    int     // set-ups failed in a row
 	until    float64 // no set-up before this time
@@ -142,7 +153,9 @@
 	taken    []float64 // times of requests within the look-back
 	extras   []float64 // times of further attempts within it
 	ticking  bool
+	raised   float64 // the last turn used
 	began    float64
+	stale    float64 // ms after which a measurement is old
 	scratch  []*server
 	pool     []*session
 }
@@ -154,7 +167,7 @@
 	}
 	c := &Controller{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x6865616d)), servers: map[ServerID]*server{},
 		sessions: map[SessionID]*session{}, seats: map[seatKey]int{}, tokens: map[uint64]*server{},
-		cells: make([][]*server, cfg.Cells), began: -1}
+		cells: make([][]*server, cfg.Cells), began: -1, stale: cfg.TellMs + cfg.ToldLateMs + spareMs}
 	for range cfg.Racks {
 		c.racks = append(c.racks, &rack{up: gauge{cap: math.Max(cfg.UplinkKB, 1)}})
 	}
@@ -280,7 +293,7 @@
 	sum, n := 0.0, 0.0
 	for _, s := range c.order {
 		if s.link.known && !s.off {
-			sum, n = sum+s.link.load(0), n+1
+			sum, n = sum+s.link.load(c.now, c.stale, 0), n+1
 		}
 	}
 	if n == 0 {
@@ -292,14 +305,14 @@
 // linkLoad and rackLoad are the one estimate of a link and of an uplink.
 func (c *Controller) linkLoad(s *server) float64 {
 	if s.link.known {
-		return s.link.load(0)
+		return s.link.load(c.now, c.stale, 0)
 	}
-	return s.link.load(c.average())
+	return s.link.load(c.now, c.stale, c.average())
 }
 
 func (c *Controller) rackLoad(r *rack) float64 {
 	if r.up.known {
-		return r.up.load(0)
+		return r.up.load(c.now, c.stale, 0)
 	}
 	asked := 0.0
 	for _, s := range r.servers {
@@ -307,7 +320,7 @@
 			asked += c.linkLoad(s) * s.link.cap
 		}
 	}
-	return r.up.load(asked / r.up.cap)
+	return r.up.load(c.now, c.stale, asked/r.up.cap)
 }
 
 func (c *Controller) load(s *server) float64 { return math.Max(c.linkLoad(s), c.rackLoad(s.rack)) }
@@ -352,7 +365,7 @@
 		s.rack.up.tell(at, r.Uplink)
 	}
 	if r.Streams >= 0 {
-		s.streams = math.Max(0, r.Streams-float64(len(s.sessions)))
+		s.streams, s.counted = math.Max(0, r.Streams-float64(len(s.sessions))), c.now
 	}
 }
 
@@ -471,7 +484,8 @@
 }
 
 func (c *Controller) hasPlace(v *server) bool {
-	return math.Max(v.streams, 0)+float64(len(v.sessions)) < c.places(v)
+	others := math.Max(v.streams, 0) * math.Exp((v.counted-c.now)/streamFadeMs)
+	return others+float64(len(v.sessions)) < c.places(v)
 }
 
 func (c *Controller) place(s *session) {
@@ -842,8 +856,10 @@
 			c.failed(v, "broke its sessions off")
 		}
 		c.report(v, &ev.Report)
-		if ev.Outcome == Full {
-			v.link.tell(c.now, math.Max(v.link.load(0), 1))
+		if ev.Outcome == Full && c.linkLoad(v) < fullLink && ev.Report.Link >= 0 { // full of streams, not of rate
+			v.streams, v.counted = math.Max(v.streams, c.places(v)-float64(len(v.sessions))), c.now
+		} else if ev.Outcome == Full {
+			v.link.tell(c.now, math.Max(c.linkLoad(v), 1))
 		}
 	}
 	if s == nil {
@@ -911,17 +927,19 @@
 	g.eased = c.now
 }
 
-// raise lifts one session where room lasts; fronts take turns by the clock.
+// raise lifts one session on each server where room lasts; fronts take turns by the clock.
 func (c *Controller) raise() {
-	if int(c.now/1000)%c.cfg.Fronts != c.cfg.Me {
+	turn := math.Floor(c.now / turnMs)
+	if turn == c.raised || int(turn)%c.cfg.Fronts != c.cfg.Me {
 		return
 	}
-	var best *session
-	most := 0.0
+	c.raised = turn
 	for _, v := range c.order {
 		if v.off || c.now < v.until || !v.link.known || c.now-v.link.at > 2*c.cfg.TellMs+c.cfg.ToldLateMs {
 			continue
 		}
+		var best *session
+		most := 0.0
 		link, up := c.linkLoad(v), c.rackLoad(v.rack)
 		if link >= raiseTo || up >= raiseTo {
 			continue
@@ -944,8 +962,8 @@
 				best, most = s, dw/kb
 			}
 		}
-	}
-	if best != nil {
-		c.setRung(best, best.rung+1)
+		if best != nil {
+			c.setRung(best, best.rung+1)
+		}
 	}
 }
