--- a/controller.go
+++ b/controller.go
@@ -18,7 +18,6 @@
 const (
 	mark         = 0.90    // share of a link or uplink that set-ups may fill; the rest covers the spread of rates
 	reliefAt     = 0.97    // load above which own sessions are lowered: shortfall starts just above 1
-	guessAt      = 1.1     // load above which a mere guess at the start brings relief
 	reliefTo     = 0.90    // load that a relief aims at, the mark of admission
 	raiseTo      = 0.80    // load that raising a playing session may reach: leaves room for new sessions
 	tickMs       = 250.0   // ms between looks at the fleet: well under the second after which viewers notice
@@ -291,15 +290,11 @@
 
 // average is the mean link load of the servers that have been heard: unheard ones count as that.
 func (c *Controller) average() float64 {
-	sum, n, own, links := 0.0, 0.0, 0.0, 1.0
+	sum, n := 0.0, 0.0
 	for _, s := range c.order {
 		if s.link.known && !s.off {
 			sum, n = sum+s.link.load(c.now, c.stale, 0), n+1
 		}
-		own, links = own+s.link.own, links+s.link.cap
-	}
-	if n == 0 && own > 0 {
-		return own * float64(c.cfg.Fronts) / links // nothing told yet: the other fronts are taken to be like this one
 	}
 	if n == 0 {
 		return guessLoad
@@ -905,7 +900,7 @@
 
 // relieve lowers own sessions on a link or uplink that is asked for too much, by this front's part of it.
 func (c *Controller) relieve(g *gauge, load float64, on []*server) {
-	if load <= reliefAt || (g.known && g.eased > g.at) || (!g.known && (g.eased > 0 || load < guessAt)) {
+	if load <= reliefAt || !g.known || g.eased > g.at {
 		return
 	}
 	part := g.own * (load - reliefTo) / load
