--- a/controller.go
+++ b/controller.go
@@ -17,9 +17,9 @@
 
 const (
 	mark         = 0.90    // share of a link or uplink that set-ups may fill; the rest covers the spread of rates
-	reliefAt     = 0.97    // load above which own sessions are lowered: shortfall starts just above 1
+	reliefAt     = 1.0     // load above which own sessions are lowered: from here sessions fall short
 	reliefTo     = 0.90    // load that a relief aims at, the mark of admission
-	raiseTo      = 0.80    // load that raising a playing session may reach: leaves room for new sessions
+	raiseTo      = 0.70    // load that raising a playing session may reach: dearer than a set-up, so it leaves room for them
 	tickMs       = 250.0   // ms between looks at the fleet: well under the second after which viewers notice
 	payback      = 2.0     // a rung is raised only for this many times the price of the change
 	lifeGuessS   = 15.0    // s a session of unknown length is taken to go on
@@ -918,7 +918,7 @@
 			break
 		}
 		d := c.rate(best.class, best.rung) - c.rate(best.class, best.rung-1)
-		if part < d*c.rng.Float64() { // rounded by chance, so that all fronts together free the excess once
+		if part < d/2 { // to the nearest step, so that all fronts together free the excess about once
 			break
 		}
 		part -= d
