--- a/controller.go
+++ b/controller.go
@@ -23,13 +23,14 @@
 	tickMs       = 250.0   // ms between looks at the fleet: well under the second after which viewers notice
 	payback      = 2.0     // a rung is raised only for this many times the price of the change
 	lifeGuessS   = 15.0    // s a session of unknown length is taken to go on
+	packed       = 0.9     // part of a server's streams in use from which room is for those that play
 	turnMs       = 1000.0  // ms of a front's turn at raising, so that no two fill the same room
 	settleMs     = 4000.0  // ms for which a changed rung is not raised again, against flapping
 	reportAgeMs  = 400.0   // ms that a load report is taken to be old
 	firstTryPart = 0.45    // share of the time left that a repeatable attempt may take when another can follow
 	trialMs      = 1000.0  // ms a failed server rests at first; doubles with each failure in a row
 	trialMaxMs   = 8000.0  // ms it rests at most
-	fullLink     = 0.7     // a server that is full under this told load lacks streams, not rate
+	fullMs       = 1000.0  // ms for which a server that answered full fails the test
 	staleTo      = 0.8     // load to which an old measurement above it fades: low rungs are tried there again
 	staleFadeMs  = 3000.0  // ms in which it fades by two thirds
 	spareMs      = 1000.0  // ms past the told interval and lateness after which a measurement is old
@@ -100,6 +101,7 @@
 	lost     bool    // seen to fail as a whole: cold when it answers again
 	coldAt   float64 // start of its warm-up as far as known; 0 = warm
 	lastCold float64 // last set-up sent while cold
+	full     float64 // fails the test until then
 	pending  int
 	logged   float64
 }
@@ -484,8 +486,12 @@
 }
 
 func (c *Controller) hasPlace(v *server) bool {
+	return c.now >= v.full && c.streams(v) < c.places(v)
+}
+
+func (c *Controller) streams(v *server) float64 {
 	others := math.Max(v.streams, 0) * math.Exp((v.counted-c.now)/streamFadeMs)
-	return others+float64(len(v.sessions)) < c.places(v)
+	return others + float64(len(v.sessions))
 }
 
 func (c *Controller) place(s *session) {
@@ -856,10 +862,8 @@
 			c.failed(v, "broke its sessions off")
 		}
 		c.report(v, &ev.Report)
-		if ev.Outcome == Full && c.linkLoad(v) < fullLink && ev.Report.Link >= 0 { // full of streams, not of rate
-			v.streams, v.counted = math.Max(v.streams, c.places(v)-float64(len(v.sessions))), c.now
-		} else if ev.Outcome == Full {
-			v.link.tell(c.now, math.Max(c.linkLoad(v), 1))
+		if ev.Outcome == Full { // of rate, of streams or of set-ups waiting: it does not say which
+			v.full = c.now + fullMs
 		}
 	}
 	if s == nil {
@@ -941,8 +945,9 @@
 		var best *session
 		most := 0.0
 		link, up := c.linkLoad(v), c.rackLoad(v.rack)
-		if link >= raiseTo || up >= raiseTo {
-			continue
+		limit := raiseTo
+		if c.streams(v) >= packed*c.places(v) {
+			limit = mark // no stream is left for newcomers to use the room
 		}
 		for _, s := range v.sessions {
 			if !s.playing || s.rung >= s.top || c.now-s.changed < settleMs {
@@ -954,7 +959,7 @@
 			if s.endGuess > 0 {
 				left = (s.endGuess - c.now) / 1000
 			}
-			if link+kb/v.link.cap > raiseTo || up+kb/v.rack.up.cap > raiseTo ||
+			if link+kb/v.link.cap > limit || up+kb/v.rack.up.cap > limit ||
 				dw*left < payback*c.cfg.SwitchS*s.class.Value {
 				continue
 			}
