--- a/controller.go
+++ b/controller.go
@@ -24,6 +24,8 @@
 	payback      = 2.0     // a rung is raised only for this many times the price of the change
 	lifeGuessS   = 15.0    // s a session of unknown length is taken to go on
 	packed       = 0.9     // part of a server's streams in use from which room is for those that play
+	raiseUpTo    = 0.85    // the same for an uplink, which averages over more sessions
+	raisePart    = 0.5     // part of a link's room that a front uses in a turn
 	turnMs       = 1000.0  // ms of a front's turn at raising, so that no two fill the same room
 	settleMs     = 4000.0  // ms for which a changed rung is not raised again, against flapping
 	reportAgeMs  = 400.0   // ms that a load report is taken to be old
@@ -132,6 +134,7 @@
 	ranOn      *server
 	changed    float64
 	playedAt   float64
+	lowered    bool // the last change was downward
 }
 
 type seatKey struct {
@@ -414,6 +417,7 @@
 	kb := c.rate(s.class, rung) - c.rate(s.class, s.rung)
 	s.server.link.add(c.now, kb)
 	s.server.rack.up.add(c.now, kb)
+	s.lowered = rung < s.rung
 	s.rung, s.changed = rung, c.now
 	c.out = append(c.out, Action{Kind: ActRung, Session: s.id, Rung: rung})
 }
@@ -931,7 +935,8 @@
 	g.eased = c.now
 }
 
-// raise lifts one session on each server where room lasts; fronts take turns by the clock.
+// raise lifts playing sessions where room lasts, the most worth for a kB first; fronts take turns by the
+// clock, and each uses a part of the room, since what the one before it used is told late.
 func (c *Controller) raise() {
 	turn := math.Floor(c.now / turnMs)
 	if turn == c.raised || int(turn)%c.cfg.Fronts != c.cfg.Me {
@@ -939,36 +944,47 @@
 	}
 	c.raised = turn
 	for _, v := range c.order {
-		if v.off || c.now < v.until || !v.link.known || c.now-v.link.at > 2*c.cfg.TellMs+c.cfg.ToldLateMs {
+		if v.off || c.now < v.until || !v.link.known || c.now-v.link.at > c.stale+c.cfg.TellMs {
 			continue
 		}
-		var best *session
-		most := 0.0
-		link, up := c.linkLoad(v), c.rackLoad(v.rack)
-		limit := raiseTo
+		limit, limitUp := raiseTo, raiseUpTo
 		if c.streams(v) >= packed*c.places(v) {
-			limit = mark // no stream is left for newcomers to use the room
+			limit, limitUp = mark, mark // no stream is left for newcomers to use the room
 		}
-		for _, s := range v.sessions {
-			if !s.playing || s.rung >= s.top || c.now-s.changed < settleMs {
-				continue
-			}
-			kb := c.rate(s.class, s.rung+1) - c.rate(s.class, s.rung)
-			dw := c.worth(s, s.rung+1) - c.worth(s, s.rung)
-			left := lifeGuessS
-			if s.endGuess > 0 {
-				left = (s.endGuess - c.now) / 1000
-			}
-			if link+kb/v.link.cap > limit || up+kb/v.rack.up.cap > limit ||
-				dw*left < payback*c.cfg.SwitchS*s.class.Value {
-				continue
+		for budget := (limit - c.linkLoad(v)) * v.link.cap * raisePart; ; {
+			link, up := (limit-c.linkLoad(v))*v.link.cap, (limitUp-c.rackLoad(v.rack))*v.rack.up.cap
+			var best *session
+			most, used := 0.0, 0.0
+			for _, s := range v.sessions {
+				if kb, gain := c.lift(s); kb <= link && kb <= up && gain > most {
+					best, most, used = s, gain, kb
+				}
 			}
-			if dw/kb > most {
-				best, most = s, dw/kb
+			if best == nil {
+				break
 			}
-		}
-		if best != nil {
 			c.setRung(best, best.rung+1)
+			if budget -= used; budget <= 0 {
+				break
+			}
 		}
 	}
 }
+
+// lift is the rate that the next rung of s adds and its worth for a kB; no worth where the change does not
+// pay for itself or the last one was a moment ago.
+func (c *Controller) lift(s *session) (kb, gain float64) {
+	if !s.playing || s.rung >= s.top || (c.now-s.changed < settleMs && s.lowered) {
+		return 0, 0
+	}
+	kb = c.rate(s.class, s.rung+1) - c.rate(s.class, s.rung)
+	dw := c.worth(s, s.rung+1) - c.worth(s, s.rung)
+	left := lifeGuessS
+	if s.endGuess > 0 {
+		left = (s.endGuess - c.now) / 1000
+	}
+	if dw*left < payback*c.cfg.SwitchS*s.class.Value {
+		return 0, 0
+	}
+	return kb, dw / kb
+}
