--- a/controller.go
+++ b/controller.go
@@ -26,6 +26,8 @@
 	packed       = 0.9     // part of a server's streams in use from which room is for those that play
 	raiseUpTo    = 0.85    // the same for an uplink, which averages over more sessions
 	raisePart    = 0.5     // part of a link's room that a front uses in a turn
+	leastUplink  = 0.2     // part of the mean uplink that an uplink is believed to carry at least
+	uplinkBack   = 1.005   // growth a tick of a learned uplink back to the mean: 2% a second
 	turnMs       = 1000.0  // ms of a front's turn at raising, so that no two fill the same room
 	settleMs     = 4000.0  // ms for which a changed rung is not raised again, against flapping
 	reportAgeMs  = 400.0   // ms that a load report is taken to be old
@@ -111,6 +113,7 @@
 type rack struct {
 	up      gauge
 	servers []*server
+	told    bool // its load is told, not inferred
 }
 
 // session is one request from arrival to end.
@@ -316,7 +319,7 @@
 }
 
 func (c *Controller) rackLoad(r *rack) float64 {
-	if r.up.known {
+	if r.up.known && (r.told || c.now-r.up.at < c.stale) {
 		return r.up.load(c.now, c.stale, 0)
 	}
 	asked := 0.0
@@ -367,6 +370,7 @@
 		s.link.tell(at, r.Link)
 	}
 	if r.Uplink >= 0 {
+		s.rack.told = true
 		s.rack.up.tell(at, r.Uplink)
 	}
 	if r.Streams >= 0 {
@@ -828,21 +832,31 @@
 	case NoteLink:
 		v.link.tell(at, ev.Value)
 	case NoteUplink:
+		v.rack.told = true
 		v.rack.up.tell(at, ev.Value)
 	case NoteShare:
 		c.short(v, ev.Value)
 	}
 }
 
-// short takes a share delivered as a measurement of the link, or of an uplink that is never told.
+// short books a share delivered on the link or on the uplink, whichever it must come from: the one not
+// freshly told to be clear, else the fuller one. It guards against relieving every link of a weak uplink.
 func (c *Controller) short(v *server, share float64) {
-	if share >= 0.98 || share <= 0 {
+	x, at := 1/share, c.now-c.cfg.ToldLateMs
+	if share >= 0.98 || share <= 0 || c.load(v) >= x-0.03 {
 		return
 	}
-	x, at := 1/share, c.now-c.cfg.ToldLateMs
-	if c.load(v) < x-0.03 {
-		v.link.tell(at, x)
+	link, up := &v.link, &v.rack.up
+	linkFresh, upFresh := link.known && c.now-link.at < c.stale, up.known && c.now-up.at < c.stale
+	if linkFresh != upFresh && upFresh || linkFresh == upFresh && c.linkLoad(v) >= c.rackLoad(v.rack) {
+		link.tell(at, x)
+		return
+	}
+	if !v.rack.told { // no report tells this uplink: learn what it carries
+		asked := c.rackLoad(v.rack) * up.cap
+		up.cap = math.Max(math.Min(up.cap, asked/x), c.cfg.UplinkKB*leastUplink)
 	}
+	up.tell(at, x)
 }
 
 func (c *Controller) settled(ev *Event) {
@@ -898,6 +912,7 @@
 
 func (c *Controller) tick() {
 	for _, r := range c.racks {
+		r.up.cap = math.Min(r.up.cap*uplinkBack, math.Max(r.up.cap, c.cfg.UplinkKB))
 		c.relieve(&r.up, c.rackLoad(r), r.servers)
 		for i, v := range r.servers {
 			c.relieve(&v.link, c.linkLoad(v), r.servers[i:i+1])
