--- a/controller.go
+++ b/controller.go
@@ -24,10 +24,6 @@
 	payback      = 2.0     // a rung is raised only for this many times the price of the change
 	lifeGuessS   = 15.0    // s a session of unknown length is taken to go on
 	packed       = 0.9     // part of a server's streams in use from which room is for those that play
-	raiseUpTo    = 0.85    // the same for an uplink, which averages over more sessions
-	raisePart    = 0.5     // part of a link's room that a front uses in a turn
-	leastUplink  = 0.2     // part of the mean uplink that an uplink is believed to carry at least
-	uplinkBack   = 1.005   // growth a tick of a learned uplink back to the mean: 2% a second
 	turnMs       = 1000.0  // ms of a front's turn at raising, so that no two fill the same room
 	settleMs     = 4000.0  // ms for which a changed rung is not raised again, against flapping
 	reportAgeMs  = 400.0   // ms that a load report is taken to be old
@@ -113,7 +109,6 @@
 type rack struct {
 	up      gauge
 	servers []*server
-	told    bool // its load is told, not inferred
 }
 
 // session is one request from arrival to end.
@@ -137,7 +132,6 @@
 	ranOn      *server
 	changed    float64
 	playedAt   float64
-	lowered    bool // the last change was downward
 }
 
 type seatKey struct {
@@ -319,7 +313,7 @@
 }
 
 func (c *Controller) rackLoad(r *rack) float64 {
-	if r.up.known && (r.told || c.now-r.up.at < c.stale) {
+	if r.up.known {
 		return r.up.load(c.now, c.stale, 0)
 	}
 	asked := 0.0
@@ -370,7 +364,6 @@
 		s.link.tell(at, r.Link)
 	}
 	if r.Uplink >= 0 {
-		s.rack.told = true
 		s.rack.up.tell(at, r.Uplink)
 	}
 	if r.Streams >= 0 {
@@ -421,7 +414,6 @@
 	kb := c.rate(s.class, rung) - c.rate(s.class, s.rung)
 	s.server.link.add(c.now, kb)
 	s.server.rack.up.add(c.now, kb)
-	s.lowered = rung < s.rung
 	s.rung, s.changed = rung, c.now
 	c.out = append(c.out, Action{Kind: ActRung, Session: s.id, Rung: rung})
 }
@@ -832,31 +824,21 @@
 	case NoteLink:
 		v.link.tell(at, ev.Value)
 	case NoteUplink:
-		v.rack.told = true
 		v.rack.up.tell(at, ev.Value)
 	case NoteShare:
 		c.short(v, ev.Value)
 	}
 }
 
-// short books a share delivered on the link or on the uplink, whichever it must come from: the one not
-// freshly told to be clear, else the fuller one. It guards against relieving every link of a weak uplink.
+// short takes a share delivered as a measurement of the link, or of an uplink that is never told.
 func (c *Controller) short(v *server, share float64) {
-	x, at := 1/share, c.now-c.cfg.ToldLateMs
-	if share >= 0.98 || share <= 0 || c.load(v) >= x-0.03 {
-		return
-	}
-	link, up := &v.link, &v.rack.up
-	linkFresh, upFresh := link.known && c.now-link.at < c.stale, up.known && c.now-up.at < c.stale
-	if linkFresh != upFresh && upFresh || linkFresh == upFresh && c.linkLoad(v) >= c.rackLoad(v.rack) {
-		link.tell(at, x)
+	if share >= 0.98 || share <= 0 {
 		return
 	}
-	if !v.rack.told { // no report tells this uplink: learn what it carries
-		asked := c.rackLoad(v.rack) * up.cap
-		up.cap = math.Max(math.Min(up.cap, asked/x), c.cfg.UplinkKB*leastUplink)
+	x, at := 1/share, c.now-c.cfg.ToldLateMs
+	if c.load(v) < x-0.03 {
+		v.link.tell(at, x)
 	}
-	up.tell(at, x)
 }
 
 func (c *Controller) settled(ev *Event) {
@@ -912,7 +894,6 @@
 
 func (c *Controller) tick() {
 	for _, r := range c.racks {
-		r.up.cap = math.Min(r.up.cap*uplinkBack, math.Max(r.up.cap, c.cfg.UplinkKB))
 		c.relieve(&r.up, c.rackLoad(r), r.servers)
 		for i, v := range r.servers {
 			c.relieve(&v.link, c.linkLoad(v), r.servers[i:i+1])
@@ -950,8 +931,7 @@
 	g.eased = c.now
 }
 
-// raise lifts playing sessions where room lasts, the most worth for a kB first; fronts take turns by the
-// clock, and each uses a part of the room, since what the one before it used is told late.
+// raise lifts one session on each server where room lasts; fronts take turns by the clock.
 func (c *Controller) raise() {
 	turn := math.Floor(c.now / turnMs)
 	if turn == c.raised || int(turn)%c.cfg.Fronts != c.cfg.Me {
@@ -959,47 +939,36 @@
 	}
 	c.raised = turn
 	for _, v := range c.order {
-		if v.off || c.now < v.until || !v.link.known || c.now-v.link.at > c.stale+c.cfg.TellMs {
+		if v.off || c.now < v.until || !v.link.known || c.now-v.link.at > 2*c.cfg.TellMs+c.cfg.ToldLateMs {
 			continue
 		}
-		limit, limitUp := raiseTo, raiseUpTo
+		var best *session
+		most := 0.0
+		link, up := c.linkLoad(v), c.rackLoad(v.rack)
+		limit := raiseTo
 		if c.streams(v) >= packed*c.places(v) {
-			limit, limitUp = mark, mark // no stream is left for newcomers to use the room
+			limit = mark // no stream is left for newcomers to use the room
 		}
-		for budget := (limit - c.linkLoad(v)) * v.link.cap * raisePart; ; {
-			link, up := (limit-c.linkLoad(v))*v.link.cap, (limitUp-c.rackLoad(v.rack))*v.rack.up.cap
-			var best *session
-			most, used := 0.0, 0.0
-			for _, s := range v.sessions {
-				if kb, gain := c.lift(s); kb <= link && kb <= up && gain > most {
-					best, most, used = s, gain, kb
-				}
+		for _, s := range v.sessions {
+			if !s.playing || s.rung >= s.top || c.now-s.changed < settleMs {
+				continue
 			}
-			if best == nil {
-				break
+			kb := c.rate(s.class, s.rung+1) - c.rate(s.class, s.rung)
+			dw := c.worth(s, s.rung+1) - c.worth(s, s.rung)
+			left := lifeGuessS
+			if s.endGuess > 0 {
+				left = (s.endGuess - c.now) / 1000
 			}
-			c.setRung(best, best.rung+1)
-			if budget -= used; budget <= 0 {
-				break
+			if link+kb/v.link.cap > limit || up+kb/v.rack.up.cap > limit ||
+				dw*left < payback*c.cfg.SwitchS*s.class.Value {
+				continue
+			}
+			if dw/kb > most {
+				best, most = s, dw/kb
 			}
 		}
+		if best != nil {
+			c.setRung(best, best.rung+1)
+		}
 	}
 }
-
-// lift is the rate that the next rung of s adds and its worth for a kB; no worth where the change does not
-// pay for itself or the last one was a moment ago.
-func (c *Controller) lift(s *session) (kb, gain float64) {
-	if !s.playing || s.rung >= s.top || (c.now-s.changed < settleMs && s.lowered) {
-		return 0, 0
-	}
-	kb = c.rate(s.class, s.rung+1) - c.rate(s.class, s.rung)
-	dw := c.worth(s, s.rung+1) - c.worth(s, s.rung)
-	left := lifeGuessS
-	if s.endGuess > 0 {
-		left = (s.endGuess - c.now) / 1000
-	}
-	if dw*left < payback*c.cfg.SwitchS*s.class.Value {
-		return 0, 0
-	}
-	return kb, dw / kb
-}
