--- a/controller.go
+++ b/controller.go
@@ -24,6 +24,7 @@
 	payback      = 2.0     // a rung is raised only for this many times the price of the change
 	lifeGuessS   = 15.0    // s a session of unknown length is taken to go on
 	packed       = 0.9     // part of a server's streams in use from which room is for those that play
+	raiseUpTo    = 0.75    // the same for an uplink, which averages over more sessions
 	turnMs       = 1000.0  // ms of a front's turn at raising, so that no two fill the same room
 	settleMs     = 4000.0  // ms for which a changed rung is not raised again, against flapping
 	reportAgeMs  = 400.0   // ms that a load report is taken to be old
@@ -160,6 +161,7 @@
 	stale    float64 // ms after which a measurement is old
 	scratch  []*server
 	pool     []*session
+	was      []int
 }
 
 // New makes the controller of one front. It owns all its state; seed is its only source of chance.
@@ -649,52 +651,55 @@
 			}
 		}
 	}
-	type step struct {
-		s    *session
-		rung int
-	}
-	var steps []step
-	was := make([]int, len(c.pool))
-	for i, o := range c.pool {
-		was[i] = o.rung
+	if !c.lower(link, up, v, gain, true) {
+		return nil
 	}
-	restore := func() {
-		for i, o := range c.pool {
-			o.rung = was[i]
-		}
+	return v
+}
+
+// lower takes own sessions of the pool down, the least loss for a kB first, until link and up are freed; each
+// changes once. On server at only its own sessions free the link. Under all it is everything or nothing,
+// else the nearest step, so that all fronts together free an excess about once.
+func (c *Controller) lower(link, up float64, at *server, dearest float64, all bool) bool {
+	was := c.was[:0]
+	for _, o := range c.pool {
+		was = append(was, o.rung)
 	}
+	c.was = was
 	for link > 0 || up > 0 {
 		var best *session
-		least := gain
+		least := dearest
 		for _, o := range c.pool {
-			if link > 0 && o.server != v {
-				continue
-			}
-			if l := c.loss(o); l < least {
+			if l := c.loss(o); l < least && (link <= 0 || at == nil || o.server == at) {
 				best, least = o, l
 			}
 		}
+		if best == nil && all {
+			for i, o := range c.pool {
+				o.rung = was[i]
+			}
+			return false
+		}
 		if best == nil {
-			restore()
-			return nil
+			break
+		}
+		kb := c.rate(best.class, best.rung) - c.rate(best.class, best.rung-1)
+		if !all && math.Max(link, up) < kb/2 {
+			break
 		}
-		d := c.rate(best.class, best.rung) - c.rate(best.class, best.rung-1)
 		best.rung--
-		up -= d
-		if best.server == v {
-			link -= d
+		up -= kb
+		if at == nil || best.server == at {
+			link -= kb
 		}
 	}
 	for i, o := range c.pool {
-		if o.rung != was[i] {
-			steps = append(steps, step{o, o.rung})
+		if to := o.rung; to != was[i] {
+			o.rung = was[i]
+			c.setRung(o, to)
 		}
 	}
-	restore()
-	for _, st := range steps {
-		c.setRung(st.s, st.rung)
-	}
-	return v
+	return true
 }
 
 // ---- attempts and rule guards ----
@@ -908,30 +913,15 @@
 		return
 	}
 	part := g.own * (load - reliefTo) / load
-	for part > 0 {
-		var best *session
-		least := math.Inf(1)
-		for _, v := range on {
-			for _, s := range v.sessions {
-				if l := c.loss(s); l < least {
-					best, least = s, l
-				}
-			}
-		}
-		if best == nil {
-			break
-		}
-		d := c.rate(best.class, best.rung) - c.rate(best.class, best.rung-1)
-		if part < d/2 { // to the nearest step, so that all fronts together free the excess about once
-			break
-		}
-		part -= d
-		c.setRung(best, best.rung-1)
+	c.pool = c.pool[:0]
+	for _, v := range on {
+		c.pool = append(c.pool, v.sessions...)
 	}
+	c.lower(part, 0, nil, math.Inf(1), false)
 	g.eased = c.now
 }
 
-// raise lifts one session on each server where room lasts; fronts take turns by the clock.
+// raise lifts playing sessions where room lasts, the most worth for a kB first, in one change each; fronts take turns by the clock, so that what one used is told to the next.
 func (c *Controller) raise() {
 	turn := math.Floor(c.now / turnMs)
 	if turn == c.raised || int(turn)%c.cfg.Fronts != c.cfg.Me {
@@ -939,36 +929,43 @@
 	}
 	c.raised = turn
 	for _, v := range c.order {
-		if v.off || c.now < v.until || !v.link.known || c.now-v.link.at > 2*c.cfg.TellMs+c.cfg.ToldLateMs {
+		if v.off || c.now < v.until || !v.link.known || c.now-v.link.at > c.stale+c.cfg.TellMs {
 			continue
 		}
-		var best *session
-		most := 0.0
-		link, up := c.linkLoad(v), c.rackLoad(v.rack)
-		limit := raiseTo
+		limit, limitUp := raiseTo, raiseUpTo
 		if c.streams(v) >= packed*c.places(v) {
-			limit = mark // no stream is left for newcomers to use the room
+			limit, limitUp = mark, mark // no stream is left for newcomers to use the room
 		}
-		for _, s := range v.sessions {
-			if !s.playing || s.rung >= s.top || c.now-s.changed < settleMs {
-				continue
-			}
-			kb := c.rate(s.class, s.rung+1) - c.rate(s.class, s.rung)
-			dw := c.worth(s, s.rung+1) - c.worth(s, s.rung)
-			left := lifeGuessS
-			if s.endGuess > 0 {
-				left = (s.endGuess - c.now) / 1000
-			}
-			if link+kb/v.link.cap > limit || up+kb/v.rack.up.cap > limit ||
-				dw*left < payback*c.cfg.SwitchS*s.class.Value {
-				continue
+		for {
+			link, up := (limit-c.linkLoad(v))*v.link.cap, (limitUp-c.rackLoad(v.rack))*v.rack.up.cap
+			var best *session
+			most, to := 0.0, 0
+			for _, s := range v.sessions {
+				for r := s.top; r > s.rung; r-- {
+					kb := c.rate(s.class, r) - c.rate(s.class, s.rung)
+					if gain := c.gain(s, r); kb <= link && kb <= up && gain/kb > most {
+						best, most, to = s, gain/kb, r
+					}
+				}
 			}
-			if dw/kb > most {
-				best, most = s, dw/kb
+			if best == nil {
+				break
 			}
+			c.setRung(best, to)
 		}
-		if best != nil {
-			c.setRung(best, best.rung+1)
-		}
 	}
 }
+
+// gain is the worth that a lift of s to rung r brings by the session's end, or 0 where it does not pay for
+// the change or the session was lowered a moment ago.
+func (c *Controller) gain(s *session, r int) float64 {
+	left := lifeGuessS
+	if s.endGuess > 0 {
+		left = (s.endGuess - c.now) / 1000
+	}
+	gain, cost := (c.worth(s, r)-c.worth(s, s.rung))*left, c.cfg.SwitchS*s.class.Value
+	if !s.playing || c.now-s.changed < settleMs || gain < payback*cost {
+		return 0
+	}
+	return gain - cost
+}
