Unheard servers count as average but never as full

Cause: the first servers heard were full ones, all others counted as their average (1.4), so nothing was tried and nothing was heard. Told from overload by the STATE of the other director (link 0.47). May hurt in a fleet that is full throughout: one try a server.

--- a/controller.go
+++ b/controller.go
@@ -303,7 +303,7 @@
 	if n == 0 {
 		return guessLoad
 	}
-	return sum / n
+	return math.Min(sum/n, staleTo) // unheard servers are tried, or a fresh front that hears of full ones stays shut
 }
 
 // linkLoad and rackLoad are the one estimate of a link and of an uplink.
@@ -318,13 +318,16 @@
 	if r.up.known {
 		return r.up.load(c.now, c.stale, 0)
 	}
-	asked := 0.0
+	asked, heard := 0.0, 0.0
 	for _, s := range r.servers {
 		if !s.off {
-			asked += c.linkLoad(s) * s.link.cap
+			kb := c.linkLoad(s) * s.link.cap
+			if asked += kb; s.link.known {
+				heard += kb
+			}
 		}
 	}
-	return r.up.load(c.now, c.stale, asked/r.up.cap)
+	return r.up.load(c.now, c.stale, math.Min(asked/r.up.cap, math.Max(staleTo, heard/r.up.cap)))
 }
 
 func (c *Controller) load(s *server) float64 { return math.Max(c.linkLoad(s), c.rackLoad(s.rack)) }
