--- a/api.go
+++ b/api.go
@@ -84,15 +84,10 @@
 	TellMs           float64 // time between load notes; 0 = none
 	ToldLateMs       float64 // how late notes are
 	MaxAttempts      int
-	ConnectMs        float64
 	MaxRetryAfterMs  float64
 	RetryAfter       bool
-	CanCancel        bool
-	CanProbe         bool
-	CanPost          bool
 	MoveCost         float64
 	CrossZoneCost    float64
-	ProbeCost        float64
 	Subscribe        bool // the server list must be asked for
 	AnswerSlackMs    float64
 	DrainGraceMs     float64
@@ -155,8 +150,6 @@
 	EvSettled                   // attempt ended: Outcome, Finished, Report
 	EvGone                      // the viewer left
 	EvTimer                     // Timer
-	EvProbed                    // Server, Outcome, TookMs, Report
-	EvMessage                   // From, Data
 )
 
 // NoteKind is the subject of a note on a session.
@@ -204,8 +197,6 @@
 	Servers     []Server // only read during Step
 	Delta       bool     // Servers holds changed entries only
 	ListFailed  bool
-	From        int
-	Data        []byte // only read during Step
 }
 
 // ActionKind tells which fields of an Action are set.
@@ -213,17 +204,13 @@
 
 // The actions.
 const (
-	ActSend    ActionKind = iota // set Session up at Server, time-out AtMs
-	ActRefuse                    // final answer, RetryMs as advice (0 = none)
-	ActFail                      // final answer, no promise of its effect
-	ActCancel                    // stop waiting for Attempt
-	ActRung                      // set Rung
-	ActMove                      // end a playing session; it comes back
-	ActTimer                     // an EvTimer named Timer at AtMs
-	ActProbe                     // check Server
-	ActWatch                     // subscribe to the server list
-	ActRefresh                   // ask for the full server list
-	ActLog                       // Text for the person on call
+	ActSend   ActionKind = iota // set Session up at Server, time-out AtMs
+	ActRefuse                   // final answer, RetryMs as advice (0 = none)
+	ActFail                     // final answer, no promise of its effect
+	ActRung                     // set Rung
+	ActTimer                    // an EvTimer named Timer at AtMs
+	ActWatch                    // subscribe to the server list
+	ActLog                      // Text for the person on call
 )
 
 // Action is one thing a front is to do, in the order given.
@@ -231,7 +218,6 @@
 	Kind    ActionKind
 	Session SessionID
 	Server  ServerID
-	Attempt int
 	Rung    int
 	AtMs    float64 // time-out of ActSend (0 = until the viewer gives up), time of ActTimer
 	RetryMs float64
@@ -289,9 +275,9 @@
 	}{
 		{"OverShareWorth", c.OverShareWorth}, {"LinkUnitKB", c.LinkUnitKB}, {"AllLinksKB", c.AllLinksKB},
 		{"UplinkKB", c.UplinkKB}, {"GuardAt", c.GuardAt}, {"Join", c.Join}, {"ShortfallCost", c.ShortfallCost},
-		{"SwitchS", c.SwitchS}, {"TellMs", c.TellMs}, {"ToldLateMs", c.ToldLateMs}, {"ConnectMs", c.ConnectMs},
+		{"SwitchS", c.SwitchS}, {"TellMs", c.TellMs}, {"ToldLateMs", c.ToldLateMs},
 		{"MaxRetryAfterMs", c.MaxRetryAfterMs}, {"MoveCost", c.MoveCost}, {"CrossZoneCost", c.CrossZoneCost},
-		{"ProbeCost", c.ProbeCost}, {"AnswerSlackMs", c.AnswerSlackMs}, {"DrainGraceMs", c.DrainGraceMs},
+		{"AnswerSlackMs", c.AnswerSlackMs}, {"DrainGraceMs", c.DrainGraceMs},
 		{"OverloadFactor", c.OverloadFactor}, {"TipAfterMs", c.TipAfterMs}, {"WarmWithinMs", c.WarmWithinMs},
 		{"ColdFrom", c.ColdFrom}, {"MinExtra", c.MinExtra}, {"RepeatRatio", c.RepeatRatio},
 		{"LookBackMs", c.LookBackMs},
--- a/controller.go
+++ b/controller.go
@@ -19,7 +19,7 @@
 	mark         = 0.90    // share of a link or uplink that set-ups may fill; the rest covers the spread of rates
 	reliefAt     = 1.0     // load above which own sessions are lowered: from here sessions fall short
 	reliefTo     = 0.90    // load that a relief aims at, the mark of admission
-	raiseTo      = 0.70    // load that raising a playing session may reach: dearer than a set-up, so it leaves room for them
+	raiseTo      = 0.70    // link load that raising may reach: a change costs, so room is left for set-ups
 	tickMs       = 250.0   // ms between looks at the fleet: well under the second after which viewers notice
 	payback      = 2.0     // a rung is raised only for this many times the price of the change
 	lifeGuessS   = 15.0    // s a session of unknown length is taken to go on
@@ -41,6 +41,9 @@
 	tickTimer    = 1
 )
 
+var troubles = map[Outcome]string{Failed: "answers set-ups with errors", TimedOut: "lets set-ups time out",
+	ConnectFailed: "takes no connections", Reset: "broke its sessions off"}
+
 // change is a change of the front's own rates on a gauge, kept until a measurement includes it.
 type change struct{ at, kb float64 }
 
@@ -114,25 +117,20 @@
 
 // session is one request from arrival to end.
 type session struct {
-	id         SessionID
-	class      *Class
-	classNo    int
-	tenant     int
-	title      uint64
-	home, n    int
-	top        int
-	deadline   float64
-	endGuess   float64
-	server     *server // of the attempt that is out or plays
-	rung       int
-	playing    bool
-	tries      int
-	tried      []ServerID
-	mayHaveRun bool
-	ranAt      float64
-	ranOn      *server
-	changed    float64
-	playedAt   float64
+	id                  SessionID
+	class               *Class
+	classNo             int
+	title               uint64
+	home, n, top        int // first cell, cells, highest rung
+	deadline, endGuess  float64
+	server              *server // of the attempt that is out or plays
+	rung                int
+	playing, mayHaveRun bool
+	tries               int
+	tried               []ServerID
+	ranAt               float64 // of the first attempt that may have run
+	ranOn               *server
+	changed, playedAt   float64 // last change of rung, start of play
 }
 
 type seatKey struct {
@@ -158,10 +156,10 @@
 	ticking  bool
 	raised   float64 // the last turn used
 	began    float64
-	stale    float64 // ms after which a measurement is old
-	scratch  []*server
-	pool     []*session
-	was      []int
+	stale    float64    // ms after which a measurement is old
+	scratch  []*server  // of holders
+	pool     []*session // of price and lower
+	was      []int      // of lower
 }
 
 // New makes the controller of one front. It owns all its state; seed is its only source of chance.
@@ -206,8 +204,6 @@
 		case EvTimer:
 			c.ticking = false
 			c.tick()
-		case EvProbed:
-			c.probed(ev)
 		}
 	}
 	if !c.ticking {
@@ -235,10 +231,6 @@
 			s = &server{Server: e, streams: -1, rack: c.racks[e.Cell%c.cfg.Racks], coldAt: e.UpSinceMs}
 			c.servers[e.ID] = s
 			c.order = append(c.order, s)
-			s.rack.servers = append(s.rack.servers, s)
-			if e.Cell < len(c.cells) {
-				c.cells[e.Cell] = append(c.cells[e.Cell], s)
-			}
 		} else if e.UpSinceMs > s.UpSinceMs { // restarted: cold, and what it had is gone
 			s.coldAt, s.lost, s.fails, s.until, s.link.known = e.UpSinceMs, false, 0, 0, false
 		}
@@ -251,15 +243,14 @@
 			}
 		}
 	}
-	byID := func(l []*server) {
-		sort.Slice(l, func(i, j int) bool { return l[i].ID < l[j].ID })
-	}
-	byID(c.order)
-	for _, cell := range c.cells {
-		byID(cell)
-	}
+	sort.Slice(c.order, func(i, j int) bool { return c.order[i].ID < c.order[j].ID })
+	clear(c.cells)
 	for _, r := range c.racks {
-		byID(r.servers)
+		r.servers = r.servers[:0]
+	}
+	for _, s := range c.order {
+		s.rack.servers = append(s.rack.servers, s)
+		c.cells[s.Cell%len(c.cells)] = append(c.cells[s.Cell%len(c.cells)], s)
 	}
 	c.sizes()
 }
@@ -413,10 +404,10 @@
 // setRung is the only place that emits a rung: never under the floor, over the class or over the viewer.
 func (c *Controller) setRung(s *session, rung int) {
 	rung = max(min(rung, s.top), s.class.Floor)
-	if s.server == nil || rung == s.rung {
+	kb := c.rate(s.class, rung) - c.rate(s.class, s.rung)
+	if s.server == nil || kb == 0 {
 		return
 	}
-	kb := c.rate(s.class, rung) - c.rate(s.class, s.rung)
 	s.server.link.add(c.now, kb)
 	s.server.rack.up.add(c.now, kb)
 	s.rung, s.changed = rung, c.now
@@ -425,7 +416,7 @@
 
 func (c *Controller) newSession(ev *Event) *session {
 	k := &c.cfg.Classes[min(ev.Class, len(c.cfg.Classes)-1)]
-	s := &session{id: ev.Session, class: k, classNo: ev.Class, tenant: ev.Tenant, title: ev.Title,
+	s := &session{id: ev.Session, class: k, classNo: ev.Class, title: ev.Title,
 		home: ev.Home, n: ev.Copies, deadline: c.now + ev.RemainingMs,
 		top: min(ev.TopRung, k.Top, len(c.cfg.RateKB)-1)}
 	if ev.HintMs > 0 {
@@ -453,10 +444,6 @@
 	if c.cfg.RetryRationed {
 		c.taken = append(c.taken, c.now)
 	}
-	if s.top < s.class.Floor {
-		c.answer(s)
-		return
-	}
 	c.place(s)
 }
 
@@ -501,23 +488,18 @@
 
 func (c *Controller) place(s *session) {
 	holders := c.holders(s)
-	if len(holders) == 0 {
-		c.answer(s)
-		return
-	}
 	want := c.bestRung(s, c.price(holders, s))
 	token := c.tokens[s.title]
 	if token == nil {
 		token = home(holders, s.title)
 	}
-	for rung := want; rung >= s.class.Floor; rung-- {
+	for rung := want; rung >= s.class.Floor && rung <= s.top; rung-- { // none for a viewer under the floor
 		kb := c.rate(s.class, rung)
-		if v := c.pick(holders, token, kb); v != nil {
-			c.tokens[s.title] = v
-			c.send(s, v, rung)
-			return
+		v := c.pick(holders, token, kb)
+		if v == nil {
+			v = c.makeRoom(s, holders, rung, kb)
 		}
-		if v := c.makeRoom(s, holders, rung, kb); v != nil {
+		if v != nil {
 			c.tokens[s.title] = v
 			c.send(s, v, rung)
 			return
@@ -858,16 +840,9 @@
 	if v != nil {
 		switch ev.Outcome {
 		case Served, Full:
-		case Failed:
-			c.failed(v, "answers set-ups with errors")
-		case TimedOut:
-			c.failed(v, "lets set-ups time out")
-		case ConnectFailed:
-			v.lost = v.lost || v.fails > 0
-			c.failed(v, "takes no connections")
-		case Reset:
-			v.lost = true
-			c.failed(v, "broke its sessions off")
+		case Failed, TimedOut, ConnectFailed, Reset:
+			v.lost = v.lost || ev.Outcome == Reset || ev.Outcome == ConnectFailed && v.fails > 0
+			c.failed(v, troubles[ev.Outcome])
 		}
 		c.report(v, &ev.Report)
 		if ev.Outcome == Full { // of rate, of streams or of set-ups waiting: it does not say which
@@ -891,13 +866,6 @@
 	c.place(s)
 }
 
-func (c *Controller) probed(ev *Event) {
-	if v := c.servers[ev.Server]; v != nil && ev.Outcome == Served {
-		c.works(v)
-		c.report(v, &ev.Report)
-	}
-}
-
 // ---- while sessions play ----
 
 func (c *Controller) tick() {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -177,8 +177,8 @@
 	case 4: // BELL
 		ev.Kind, ev.Timer = headmill.EvTimer, u64(b[3:])
 	case 5: // MESSAGE
-		ev.Kind, ev.From = headmill.EvMessage, int(u16(b[3:]))
-		ev.Data, err = span(b[5:], tail, 1)
+		_, err = span(b[5:], tail, 1)
+		return m, false, err // fronts here do not post
 	case 6: // PREEXISTING
 		ev.Kind, ev.Session, ev.Viewer = headmill.EvExisting, headmill.SessionID(u32(b[3:])), u64(b[7:])
 		ev.Server, ev.Tenant, ev.RemainingMs = serverID(b[15:]), int(u32(b[30:])), f64(b[46:])
@@ -203,9 +203,8 @@
 			ev.Servers = d.lists[slot]
 		}
 	case 8: // HEALTH_RESULT
-		ev.Kind, ev.Server = headmill.EvProbed, serverID(b[3:])
-		ev.Outcome, ev.TookMs = headmill.Outcome(u16(b[9:])), f64(b[11:])
-		ev.Report, err = d.report(m.Instance, b[19:])
+		_, err = d.report(m.Instance, b[19:])
+		return m, false, err // fronts here do not probe
 	case 9: // OPEN_INSTANCE
 		m.Open, m.Seed = true, u64(b[3:])
 		var text []byte
@@ -294,16 +293,10 @@
 		le.PutUint64(r[7:], math.Float64bits(a.RetryMs))
 	case headmill.ActFail:
 		r[0] = 3
-	case headmill.ActCancel:
-		r[0] = 4
-		le.PutUint16(r[7:], uint16(a.Attempt))
 	case headmill.ActTimer:
 		r[0] = 5
 		le.PutUint64(r[3:], math.Float64bits(a.AtMs))
 		le.PutUint64(r[11:], a.Timer)
-	case headmill.ActProbe:
-		r[0] = 6
-		putServer(r[3:], a.Server)
 	case headmill.ActLog:
 		r[0] = 9
 		le.PutUint32(r[3:], uint32(len(e.tail)))
@@ -311,15 +304,11 @@
 		e.tail = append(e.tail, a.Text...)
 	case headmill.ActWatch:
 		r[0], r[3] = 11, 1
-	case headmill.ActRefresh:
-		r[0] = 12
 	case headmill.ActRung:
 		if a.Rung < 0 || a.Rung > 255 {
 			return fmt.Errorf("wire: rung %d", a.Rung)
 		}
 		r[0], r[7] = 13, byte(a.Rung)
-	case headmill.ActMove:
-		r[0] = 14
 	default:
 		return fmt.Errorf("wire: action of kind %d", a.Kind)
 	}
