Tests of rules and failures; room is made at any holder; raises are planned

Found by the tests: room was only made at the least-loaded holder, which may hold no own session; a raise stopped at the first rung; faded links could keep an untold uplink shut.

--- /dev/null
+++ b/api_test.go
@@ -0,0 +1,67 @@
+package headmill
+
+import (
+	"bufio"
+	"math"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+func TestValidateNamesTheField(t *testing.T) {
+	for want, spoil := range map[string]func(*Config){
+		"Classes is empty": func(c *Config) { c.Classes = nil },
+		"RungWorth":        func(c *Config) { c.RungWorth = c.RungWorth[:1] },
+		"RateKB[1]":        func(c *Config) { c.RateKB[1] = math.NaN() },
+		"RungWorth[0]":     func(c *Config) { c.RungWorth[0] = -1 },
+		"Classes[0]":       func(c *Config) { c.Classes[0].Value = math.Inf(1) },
+		"floor 7":          func(c *Config) { c.Classes[1].Floor = 7 },
+		"UplinkKB":         func(c *Config) { c.UplinkKB = -3 },
+		"Me is 5":          func(c *Config) { c.Me = 5 },
+		"Places[0]":        func(c *Config) { c.Places[0] = -1 },
+		"MaxAttempts 0":    func(c *Config) { c.MaxAttempts = 0 },
+	} {
+		c := testConfig()
+		spoil(&c)
+		if _, err := New(c, 1); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("error %v does not name %q", err, want)
+		}
+	}
+}
+
+// The policy files that the deploy file names stay readable in one night.
+func TestPolicyFitsItsLimits(t *testing.T) {
+	deploy, err := os.ReadFile("deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := regexp.MustCompile(`(?m)^policy\s*=\s*\[(.*)\]`).FindSubmatch(deploy)
+	if list == nil {
+		t.Fatal("deploy/balancer.toml names no policy files")
+	}
+	lines := 0
+	for _, name := range regexp.MustCompile(`"([^"]+)"`).FindAllSubmatch(list[1], -1) {
+		f, err := os.Open(string(name[1]))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.Close()
+		sc := bufio.NewScanner(f)
+		for n := 1; sc.Scan(); n++ {
+			text := strings.ReplaceAll(sc.Text(), "\t", "    ")
+			if strings.TrimSpace(text) != "" {
+				lines++
+			}
+			if len([]rune(text)) > 110 {
+				t.Errorf("%s:%d is %d characters long", name[1], n, len([]rune(text)))
+			}
+		}
+		if err := sc.Err(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if lines == 0 || lines > 850 {
+		t.Errorf("the policy has %d lines, at most 850 are allowed", lines)
+	}
+}
--- a/controller.go
+++ b/controller.go
@@ -2,10 +2,10 @@
 
 // Every decision of a front. The interface (types, events, actions) is in api.go.
 //
-// Path of a request: Step hands EvRequest to arrive, which calls place. place asks price for the rung that
+// Path of a request: Step hands EvRequest to arrive and on to place. place asks price for the rung that
 // the holders' links can pay for, tests the title's token holder (admits), passes the token to the
 // least-loaded holder that admits, makes room by lowering own sessions, or tries a lower rung; send is the
-// only place that emits a set-up and holds every rule guard (legal). If nothing fits, answer ends the request.
+// only place that emits a set-up, behind every rule guard (legal). If nothing fits, answer ends the request.
 // EvPlaying, EvNote and EvSettled feed the server view; tick lowers and raises rungs of playing sessions.
 
 import (
@@ -16,7 +16,7 @@
 )
 
 const (
-	mark         = 0.90    // share of a link or uplink that set-ups may fill; the rest covers the spread of rates
+	mark         = 0.90    // share of a link or uplink that set-ups may fill: rates spread
 	reliefAt     = 1.0     // load above which own sessions are lowered: from here sessions fall short
 	reliefTo     = 0.90    // load that a relief aims at, the mark of admission
 	raiseTo      = 0.70    // link load that raising may reach: a change costs, so room is left for set-ups
@@ -28,7 +28,7 @@
 	turnMs       = 1000.0  // ms of a front's turn at raising, so that no two fill the same room
 	settleMs     = 4000.0  // ms for which a changed rung is not raised again, against flapping
 	reportAgeMs  = 400.0   // ms that a load report is taken to be old
-	firstTryPart = 0.45    // share of the time left that a repeatable attempt may take when another can follow
+	firstTryPart = 0.45    // share of the aim that a repeatable attempt may take when another can follow
 	trialMs      = 1000.0  // ms a failed server rests at first; doubles with each failure in a row
 	trialMaxMs   = 8000.0  // ms it rests at most
 	fullMs       = 1000.0  // ms for which a server that answered full fails the test
@@ -94,20 +94,16 @@
 // server is the view of one media server.
 type server struct {
 	Server
-	rack     *rack
-	off      bool // draining or gone, from the moment it was told
-	link     gauge
-	streams  float64 // told streams less own, -1 when never told
-	counted  float64 // when streams was told
-	sessions []*session
-	fails    int     // set-ups failed in a row
-	until    float64 // no set-up before this time
-	lost     bool    // seen to fail as a whole: cold when it answers again
-	coldAt   float64 // start of its warm-up as far as known; 0 = warm
-	lastCold float64 // last set-up sent while cold
-	full     float64 // fails the test until then
-	pending  int
-	logged   float64
+	rack             *rack
+	off              bool // draining or gone, from the moment it was told
+	link             gauge
+	others, counted  float64 // streams of others as last told, and when; -1 when never told
+	sessions         []*session
+	pending, fails   int     // set-ups out; set-ups failed in a row
+	until, full      float64 // no set-up before then: it failed; it answered full
+	lost             bool    // seen to fail as a whole: cold when it answers again
+	coldAt, lastCold float64 // start of its warm-up as far as known, 0 = warm; last set-up while cold
+	logged           float64
 }
 
 type rack struct {
@@ -140,26 +136,23 @@
 
 // Controller is one front's state.
 type Controller struct {
-	cfg      Config
-	rng      *rand.Rand
-	now      float64
-	out      []Action
-	servers  map[ServerID]*server
-	order    []*server // by id: the order of every walk
-	cells    [][]*server
-	racks    []*rack
-	sessions map[SessionID]*session
-	seats    map[seatKey]int
-	tokens   map[uint64]*server
-	taken    []float64 // times of requests within the look-back
-	extras   []float64 // times of further attempts within it
-	ticking  bool
-	raised   float64 // the last turn used
-	began    float64
-	stale    float64    // ms after which a measurement is old
-	scratch  []*server  // of holders
-	pool     []*session // of price and lower
-	was      []int      // of lower
+	cfg           Config
+	rng           *rand.Rand
+	now, began    float64
+	out           []Action
+	servers       map[ServerID]*server
+	order         []*server   // by id: the order of every walk
+	cells         [][]*server // by cell, each in the same order
+	racks         []*rack
+	sessions      map[SessionID]*session
+	seats         map[seatKey]int
+	tokens        map[uint64]*server // by title
+	taken, extras []float64          // times of requests and of further attempts within the look-back
+	ticking       bool
+	raised, stale float64    // the last turn used at raising; ms after which a measurement is old
+	scratch       []*server  // of holders
+	pool          []*session // of price and lower
+	was           []int      // of lower and raise
 }
 
 // New makes the controller of one front. It owns all its state; seed is its only source of chance.
@@ -198,8 +191,8 @@
 		case EvSettled:
 			c.settled(ev)
 		case EvGone:
-			if s := c.sessions[ev.Session]; s != nil && s.server == nil {
-				delete(c.sessions, s.id)
+			if s := c.sessions[ev.Session]; s != nil {
+				s.deadline = now // finished: no further attempt
 			}
 		case EvTimer:
 			c.ticking = false
@@ -216,19 +209,18 @@
 // ---- server view ----
 
 func (c *Controller) list(ev *Event) {
-	if ev.ListFailed {
+	if ev.ListFailed || c.cfg.Subscribe && len(c.order) == 0 {
 		c.out = append(c.out, Action{Kind: ActWatch})
-		return
 	}
-	if c.cfg.Subscribe && len(c.order) == 0 {
-		c.out = append(c.out, Action{Kind: ActWatch})
+	if ev.ListFailed {
+		return
 	}
 	seen := make(map[ServerID]bool, len(ev.Servers))
 	for _, e := range ev.Servers {
 		seen[e.ID] = true
 		s := c.servers[e.ID]
 		if s == nil {
-			s = &server{Server: e, streams: -1, rack: c.racks[e.Cell%c.cfg.Racks], coldAt: e.UpSinceMs}
+			s = &server{Server: e, others: -1, rack: c.racks[e.Cell%c.cfg.Racks], coldAt: e.UpSinceMs}
 			c.servers[e.ID] = s
 			c.order = append(c.order, s)
 		} else if e.UpSinceMs > s.UpSinceMs { // restarted: cold, and what it had is gone
@@ -294,7 +286,7 @@
 	if n == 0 {
 		return guessLoad
 	}
-	return math.Min(sum/n, staleTo) // unheard servers are tried, or a fresh front that hears of full ones stays shut
+	return math.Min(sum/n, staleTo) // a fresh front that hears of full ones stays open
 }
 
 // linkLoad and rackLoad are the one estimate of a link and of an uplink.
@@ -313,7 +305,7 @@
 	for _, s := range r.servers {
 		if !s.off {
 			kb := c.linkLoad(s) * s.link.cap
-			if asked += kb; s.link.known {
+			if asked += kb; s.link.known && c.now-s.link.at < c.stale {
 				heard += kb
 			}
 		}
@@ -331,24 +323,14 @@
 	s.fails++
 	rest := math.Min(trialMs*math.Pow(2, float64(s.fails-1)), trialMaxMs)
 	s.until = c.now + rest*(0.75+0.5*c.rng.Float64())
-	c.say(s, why)
-}
-
-func (c *Controller) say(s *server, why string) {
 	if c.now-s.logged < logEveryMs && s.logged > 0 {
 		return
 	}
 	s.logged = c.now
 	id := uint64(s.ID)
-	c.out = append(c.out, Action{Kind: ActLog, Text: fmt.Sprintf("server %d.%d.%d.%d:%d %s; link %.2f uplink %.2f",
-		id&255, id>>8&255, id>>16&255, id>>24&255, id>>32, why, c.linkLoad(s), c.rackLoad(s.rack))})
-}
-
-func (c *Controller) works(s *server) {
-	if s.lost {
-		s.lost, s.coldAt = false, c.now
-	}
-	s.fails, s.until = 0, 0
+	text := fmt.Sprintf("server %d.%d.%d.%d:%d %s; link %.2f uplink %.2f", id&255, id>>8&255, id>>16&255,
+		id>>24&255, id>>32, why, c.linkLoad(s), c.rackLoad(s.rack))
+	c.out = append(c.out, Action{Kind: ActLog, Text: text})
 }
 
 func (c *Controller) report(s *server, r *Report) {
@@ -363,7 +345,7 @@
 		s.rack.up.tell(at, r.Uplink)
 	}
 	if r.Streams >= 0 {
-		s.streams, s.counted = math.Max(0, r.Streams-float64(len(s.sessions))), c.now
+		s.others, s.counted = math.Max(0, r.Streams-float64(len(s.sessions))), c.now
 	}
 }
 
@@ -482,8 +464,7 @@
 }
 
 func (c *Controller) streams(v *server) float64 {
-	others := math.Max(v.streams, 0) * math.Exp((v.counted-c.now)/streamFadeMs)
-	return others + float64(len(v.sessions))
+	return math.Max(v.others, 0)*math.Exp((v.counted-c.now)/streamFadeMs) + float64(len(v.sessions))
 }
 
 func (c *Controller) place(s *session) {
@@ -510,8 +491,7 @@
 
 // pick keeps the token where it is while its holder admits, else finds the least-loaded holder that does.
 func (c *Controller) pick(holders []*server, token *server, kb float64) *server {
-	var heir *server
-	least := math.Inf(1)
+	heir, least := (*server)(nil), math.Inf(1)
 	for _, v := range holders {
 		if !c.admits(v, kb) {
 			continue
@@ -528,8 +508,7 @@
 
 // home is the first holder of a title's token: rendezvous hashing, alike at every front.
 func home(holders []*server, title uint64) *server {
-	var best *server
-	top := uint64(0)
+	best, top := (*server)(nil), uint64(0)
 	for _, v := range holders {
 		h := mix(mix(title) ^ uint64(v.ID))
 		if best == nil || h > top {
@@ -613,33 +592,29 @@
 	return (c.worth(s, s.rung) - c.worth(s, s.rung-1)) / (c.rate(s.class, s.rung) - c.rate(s.class, s.rung-1))
 }
 
-// makeRoom lowers own sessions that earn less for their last kB than the newcomer would, at the
-// least-loaded holder. It acts only when no holder admits the newcomer at that rung.
+// makeRoom lowers own sessions that earn less for their last kB than the newcomer would, at the first
+// holder, by load, where that is enough. It acts only when no holder admits the newcomer at that rung.
 func (c *Controller) makeRoom(s *session, holders []*server, rung int, kb float64) *server {
-	var v *server
-	for _, h := range holders {
-		if c.hasPlace(h) && (v == nil || c.load(h) < c.load(v)) {
-			v = h
+	sort.SliceStable(holders, func(i, j int) bool { return c.load(holders[i]) < c.load(holders[j]) })
+	for _, v := range holders {
+		if !c.hasPlace(v) {
+			continue
 		}
-	}
-	if v == nil {
-		return nil
-	}
-	link := kb - (mark-c.linkLoad(v))*v.link.cap
-	up := kb - (mark-c.rackLoad(v.rack))*v.rack.up.cap
-	gain := c.worth(s, rung) / kb
-	c.pool = append(c.pool[:0], v.sessions...)
-	if up > link {
-		for _, o := range v.rack.servers {
-			if o != v {
-				c.pool = append(c.pool, o.sessions...)
+		link := kb - (mark-c.linkLoad(v))*v.link.cap
+		up := kb - (mark-c.rackLoad(v.rack))*v.rack.up.cap
+		c.pool = append(c.pool[:0], v.sessions...)
+		if up > link {
+			for _, o := range v.rack.servers {
+				if o != v {
+					c.pool = append(c.pool, o.sessions...)
+				}
 			}
 		}
+		if c.lower(link, up, v, c.worth(s, rung)/kb, true) {
+			return v
+		}
 	}
-	if !c.lower(link, up, v, gain, true) {
-		return nil
-	}
-	return v
+	return nil
 }
 
 // lower takes own sessions of the pool down, the least loss for a kB first, until link and up are freed; each
@@ -652,8 +627,7 @@
 	}
 	c.was = was
 	for link > 0 || up > 0 {
-		var best *session
-		least := dearest
+		best, least := (*session)(nil), dearest
 		for _, o := range c.pool {
 			if l := c.loss(o); l < least && (link <= 0 || at == nil || o.server == at) {
 				best, least = o, l
@@ -770,11 +744,11 @@
 		c.out = append(c.out, Action{Kind: ActFail, Session: s.id})
 		return
 	}
-	retry := 0.0
+	refusal := Action{Kind: ActRefuse, Session: s.id}
 	if c.cfg.RetryAfter {
-		retry = c.cfg.MaxRetryAfterMs
+		refusal.RetryMs = c.cfg.MaxRetryAfterMs
 	}
-	c.out = append(c.out, Action{Kind: ActRefuse, Session: s.id, RetryMs: retry})
+	c.out = append(c.out, refusal)
 }
 
 // ---- outcomes and notes ----
@@ -782,7 +756,10 @@
 func (c *Controller) playing(ev *Event) {
 	v := c.servers[ev.Server]
 	if v != nil {
-		c.works(v)
+		if v.lost {
+			v.lost, v.coldAt = false, c.now
+		}
+		v.fails, v.until = 0, 0
 	}
 	if s := c.sessions[ev.Session]; s != nil && s.server != nil && !s.playing {
 		s.playing, s.playedAt = true, c.now
@@ -838,30 +815,21 @@
 		c.detach(s)
 	}
 	if v != nil {
-		switch ev.Outcome {
-		case Served, Full:
-		case Failed, TimedOut, ConnectFailed, Reset:
+		if why := troubles[ev.Outcome]; why != "" {
 			v.lost = v.lost || ev.Outcome == Reset || ev.Outcome == ConnectFailed && v.fails > 0
-			c.failed(v, troubles[ev.Outcome])
+			c.failed(v, why)
 		}
 		c.report(v, &ev.Report)
 		if ev.Outcome == Full { // of rate, of streams or of set-ups waiting: it does not say which
 			v.full = c.now + fullMs
 		}
 	}
-	if s == nil {
+	if s == nil || ev.Finished || was {
+		delete(c.sessions, ev.Session)
 		return
 	}
-	if ev.Finished || was {
-		delete(c.sessions, s.id)
-		return
-	}
-	switch ev.Outcome {
-	case Full, ConnectFailed, Moot:
-	default:
-		if !s.mayHaveRun {
-			s.mayHaveRun, s.ranAt, s.ranOn = true, c.now-ev.TookMs, v
-		}
+	if o := ev.Outcome; !s.mayHaveRun && o != Full && o != ConnectFailed && o != Moot {
+		s.mayHaveRun, s.ranAt, s.ranOn = true, c.now-ev.TookMs, v
 	}
 	c.place(s)
 }
@@ -892,7 +860,8 @@
 	g.eased = c.now
 }
 
-// raise lifts playing sessions where room lasts, the most worth for a kB first, in one change each; fronts take turns by the clock, so that what one used is told to the next.
+// raise lifts playing sessions where room lasts, the most worth for a kB first, in one change each; fronts
+// take turns by the clock, so that what one used is told to the next.
 func (c *Controller) raise() {
 	turn := math.Floor(c.now / turnMs)
 	if turn == c.raised || int(turn)%c.cfg.Fronts != c.cfg.Me {
@@ -907,36 +876,42 @@
 		if c.streams(v) >= packed*c.places(v) {
 			limit, limitUp = mark, mark // no stream is left for newcomers to use the room
 		}
-		for {
-			link, up := (limit-c.linkLoad(v))*v.link.cap, (limitUp-c.rackLoad(v.rack))*v.rack.up.cap
-			var best *session
-			most, to := 0.0, 0
+		room := math.Min((limit-c.linkLoad(v))*v.link.cap, (limitUp-c.rackLoad(v.rack))*v.rack.up.cap)
+		c.was = c.was[:0]
+		for _, s := range v.sessions {
+			c.was = append(c.was, s.rung)
+		}
+		for room > 0 {
+			best, most, used := (*session)(nil), 0.0, 0.0
 			for _, s := range v.sessions {
-				for r := s.top; r > s.rung; r-- {
-					kb := c.rate(s.class, r) - c.rate(s.class, s.rung)
-					if gain := c.gain(s, r); kb <= link && kb <= up && gain/kb > most {
-						best, most, to = s, gain/kb, r
-					}
+				if !s.playing || s.rung >= s.top || c.now-s.changed < settleMs {
+					continue
+				}
+				kb := c.rate(s.class, s.rung+1) - c.rate(s.class, s.rung)
+				if w := (c.worth(s, s.rung+1) - c.worth(s, s.rung)) / kb; kb <= room && w > most {
+					best, most, used = s, w, kb
 				}
 			}
 			if best == nil {
 				break
 			}
-			c.setRung(best, to)
+			best.rung++
+			room -= used
+		}
+		for i, s := range v.sessions {
+			to := s.rung
+			if s.rung = c.was[i]; c.pays(s, to) {
+				c.setRung(s, to)
+			}
 		}
 	}
 }
 
-// gain is the worth that a lift of s to rung r brings by the session's end, or 0 where it does not pay for
-// the change or the session was lowered a moment ago.
-func (c *Controller) gain(s *session, r int) float64 {
+// pays tells whether a lift of s to rung r earns its price back by the session's end.
+func (c *Controller) pays(s *session, r int) bool {
 	left := lifeGuessS
 	if s.endGuess > 0 {
 		left = (s.endGuess - c.now) / 1000
 	}
-	gain, cost := (c.worth(s, r)-c.worth(s, s.rung))*left, c.cfg.SwitchS*s.class.Value
-	if !s.playing || c.now-s.changed < settleMs || gain < payback*cost {
-		return 0
-	}
-	return gain - cost
+	return (c.worth(s, r)-c.worth(s, s.rung))*left >= payback*c.cfg.SwitchS*s.class.Value
 }
--- /dev/null
+++ b/controller_test.go
@@ -0,0 +1,617 @@
+package headmill
+
+import (
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+)
+
+// testConfig is a small fleet: 6 cells in 2 racks, links of 1000 kB/s, uplinks of 3000.
+func testConfig() Config {
+	return Config{Fronts: 2, Classes: []Class{
+		{AimMs: 1000, GiveUpMs: 3000, Repeat: Repeatable, Value: 1, Scale: 1, Top: 2},
+		{AimMs: 1000, GiveUpMs: 3000, Repeat: Once, Value: 3, Scale: 1, Top: 2, Seats: 2},
+		{AimMs: 1000, GiveUpMs: 3000, Repeat: ByKey, KeyScope: ScopeCell, KeyTTLMs: 2000, Value: 1, Scale: 1, Floor: 1, Top: 2}},
+		RateKB: []float64{50, 100, 200}, RungWorth: []float64{0.3, 0.6, 1}, Cells: 6, Racks: 2, Places: []int{20},
+		LinkUnitKB: 1000, AllLinksKB: 6000, UplinkKB: 3000, WeightsKnown: true, ShortfallCost: 6, SwitchS: 0.5,
+		TellMs: 2000, ToldLateMs: 500, MaxAttempts: 3, MaxRetryAfterMs: 800, RetryAfter: true, AnswerSlackMs: 40,
+		DrainGraceMs: 250, OverloadFactor: 2, TipAfterMs: 1000, WarmWithinMs: 10000, ColdFrom: 0.5}
+}
+
+func fleet(n int) []Server {
+	var l []Server
+	for i := range n {
+		l = append(l, Server{ID: ServerID(101 + 7*i), Cell: i % 6, Weight: 1, Zone: i % 2})
+	}
+	return l
+}
+
+// bench drives one controller and keeps its clock.
+type bench struct {
+	t    *testing.T
+	c    *Controller
+	now  float64
+	next SessionID
+}
+
+func start(t *testing.T, cfg Config) *bench {
+	t.Helper()
+	c, err := New(cfg, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{t: t, c: c, now: 1e6, next: 1}
+	b.step(Event{Kind: EvServers, Servers: fleet(6)})
+	return b
+}
+
+func (b *bench) step(ev ...Event) []Action { return b.c.Step(b.now, ev, nil) }
+
+func (b *bench) ask(class int, title uint64) (SessionID, []Action) {
+	id := b.next
+	b.next++
+	return id, b.step(Event{Kind: EvRequest, Session: id, Class: class, Title: title, RemainingMs: 3000,
+		Copies: 3, TopRung: 2})
+}
+
+// sent finds the set-up among actions, with the rung set just before it.
+func sent(acts []Action) (to ServerID, rung int, ok bool) {
+	for _, a := range acts {
+		switch a.Kind {
+		case ActRung:
+			rung = a.Rung
+		case ActSend:
+			return a.Server, rung, true
+		}
+	}
+	return 0, 0, false
+}
+
+func has(acts []Action, k ActionKind) bool {
+	for _, a := range acts {
+		if a.Kind == k {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *bench) tell(load float64) {
+	for _, s := range fleet(6) {
+		b.step(Event{Kind: EvNote, Server: s.ID, Note: NoteLink, Value: load})
+	}
+}
+
+func (b *bench) settle(id SessionID, to ServerID, o Outcome) []Action {
+	return b.step(Event{Kind: EvSettled, Session: id, Server: to, Outcome: o})
+}
+
+func (b *bench) play(id SessionID, to ServerID) []Action {
+	return b.step(Event{Kind: EvPlaying, Session: id, Server: to})
+}
+
+func TestTokenStaysUntilTheTestFails(t *testing.T) {
+	b := start(t, testConfig())
+	b.tell(0.1)
+	id, acts := b.ask(0, 42)
+	first, _, ok := sent(acts)
+	if !ok {
+		t.Fatal("first session was not set up")
+	}
+	b.play(id, first)
+	_, acts = b.ask(0, 42)
+	if second, _, _ := sent(acts); second != first {
+		t.Fatalf("second session went to %d, the token is at %d", second, first)
+	}
+	b.now += 10
+	b.step(Event{Kind: EvNote, Server: first, Note: NoteLink, Value: 1.2})
+	b.now += 600
+	b.step(Event{Kind: EvNote, Server: first, Note: NoteLink, Value: 1.2})
+	_, acts = b.ask(0, 42)
+	heir, _, ok := sent(acts)
+	if !ok || heir == first {
+		t.Fatalf("a full holder kept the token (sent %v to %d)", ok, heir)
+	}
+	b.step(Event{Kind: EvNote, Server: first, Note: NoteLink, Value: 0.1})
+	_, acts = b.ask(0, 42)
+	if now, _, _ := sent(acts); now != heir {
+		t.Fatalf("the token left %d for %d without a failed test", heir, now)
+	}
+}
+
+func TestTokenStartsAlikeAtEveryFront(t *testing.T) {
+	one, other := testConfig(), testConfig()
+	other.Me = 1
+	a, b := start(t, one), start(t, other)
+	for title := uint64(1); title < 40; title++ {
+		_, x := a.ask(0, title)
+		_, y := b.ask(0, title)
+		p, _, _ := sent(x)
+		q, _, _ := sent(y)
+		if p != q {
+			t.Fatalf("title %d starts at %d and at %d", title, p, q)
+		}
+	}
+}
+
+func TestFullAnswerPassesTheToken(t *testing.T) {
+	b := start(t, testConfig())
+	b.tell(0.1)
+	id, acts := b.ask(1, 7)
+	to, _, _ := sent(acts)
+	acts = b.settle(id, to, Full)
+	if next, _, ok := sent(acts); !ok || next == to {
+		t.Fatalf("after full: sent %v, to %d again", ok, next)
+	}
+}
+
+func TestRefusesAtOnceWithAdvice(t *testing.T) {
+	b := start(t, testConfig())
+	b.now += 1000
+	b.tell(1.3)
+	_, acts := b.ask(0, 9)
+	for _, a := range acts {
+		if a.Kind == ActRefuse && a.RetryMs == 800 {
+			return
+		}
+	}
+	t.Fatalf("no refusal with advice in %+v", acts)
+}
+
+func TestLowerRungWhenTheTopDoesNotFit(t *testing.T) {
+	b := start(t, testConfig())
+	b.now += 1000
+	b.tell(0.8)
+	_, acts := b.ask(0, 9)
+	if _, rung, ok := sent(acts); !ok || rung >= 2 {
+		t.Fatalf("sent %v at rung %d; only 0.1 of a link is free", ok, rung)
+	}
+}
+
+// A front makes room for a newcomer from its own sessions rather than refusing it.
+func TestMakesRoomFromOwnSessions(t *testing.T) {
+	b := start(t, testConfig())
+	b.tell(0.0)
+	for range 4 {
+		id, acts := b.ask(0, 9)
+		to, _, _ := sent(acts)
+		b.play(id, to)
+	}
+	b.now += 3000
+	b.tell(0.89)
+	_, acts := b.ask(0, 9)
+	if _, _, ok := sent(acts); !ok {
+		t.Fatal("refused although own sessions could give way")
+	}
+	if acts[0].Kind != ActRung || acts[0].Rung >= 2 {
+		t.Fatalf("no playing session was lowered first: %+v", acts)
+	}
+}
+
+func TestOnceIsNeverRepeatedOrRefusedAfterADoubt(t *testing.T) {
+	for _, o := range []Outcome{Failed, TimedOut, Reset, Cancelled} {
+		b := start(t, testConfig())
+		id, acts := b.ask(1, 5)
+		to, _, _ := sent(acts)
+		acts = b.settle(id, to, o)
+		if has(acts, ActSend) || has(acts, ActRefuse) || !has(acts, ActFail) {
+			t.Errorf("after outcome %d: %+v", o, acts)
+		}
+	}
+	for _, o := range []Outcome{Full, ConnectFailed} {
+		b := start(t, testConfig())
+		id, acts := b.ask(1, 5)
+		to, _, _ := sent(acts)
+		if acts = b.settle(id, to, o); !has(acts, ActSend) {
+			t.Errorf("after outcome %d, which proves that nothing ran: %+v", o, acts)
+		}
+	}
+}
+
+func TestByKeyStaysInItsGroup(t *testing.T) {
+	b := start(t, testConfig())
+	id, acts := b.ask(2, 5)
+	to, _, _ := sent(acts)
+	acts = b.settle(id, to, TimedOut)
+	if has(acts, ActSend) || has(acts, ActRefuse) || !has(acts, ActFail) {
+		t.Fatalf("one server a cell, scope cell: %+v", acts)
+	}
+}
+
+func TestDrainIsKeptFromTheMomentItIsTold(t *testing.T) {
+	b := start(t, testConfig())
+	for i := range 3 {
+		l := fleet(6)[i : i+1]
+		l[0].Health = Draining
+		b.step(Event{Kind: EvServers, Delta: true, Servers: l})
+	}
+	if _, acts := b.ask(0, 3); has(acts, ActSend) {
+		t.Fatal("sent to a draining server")
+	}
+	b.step(Event{Kind: EvServers, Servers: fleet(6)[1:]})
+	for title := range uint64(8) {
+		_, acts := b.ask(0, title)
+		if to, _, ok := sent(acts); !ok || to == fleet(1)[0].ID {
+			t.Fatalf("sent %v to %d; that server is not in the full list", ok, to)
+		}
+	}
+}
+
+func TestSeatsCountFromSendToSettled(t *testing.T) {
+	b := start(t, testConfig())
+	var ids []SessionID
+	var at []ServerID
+	for range 2 {
+		id, acts := b.ask(1, 8)
+		to, _, _ := sent(acts)
+		ids, at = append(ids, id), append(at, to)
+	}
+	if _, acts := b.ask(1, 8); has(acts, ActSend) {
+		t.Fatal("a third session of a title with two seats")
+	}
+	b.play(ids[0], at[0])
+	b.step(Event{Kind: EvSettled, Session: ids[0], Server: at[0], Outcome: Served, Finished: true})
+	if _, acts := b.ask(1, 8); !has(acts, ActSend) {
+		t.Fatal("a freed seat was not used")
+	}
+}
+
+func TestFloorTopAndViewerBoundTheRung(t *testing.T) {
+	b := start(t, testConfig())
+	acts := b.step(Event{Kind: EvRequest, Session: 900, Class: 2, Title: 1, RemainingMs: 3000, Copies: 3, TopRung: 0})
+	if has(acts, ActSend) || !has(acts, ActRefuse) {
+		t.Fatalf("a viewer under the class's floor: %+v", acts)
+	}
+	acts = b.step(Event{Kind: EvRequest, Session: 901, Class: 2, Title: 1, RemainingMs: 3000, Copies: 3, TopRung: 1})
+	if _, rung, ok := sent(acts); !ok || rung != 1 {
+		t.Fatalf("sent %v at rung %d, want 1", ok, rung)
+	}
+}
+
+func TestColdServerIsPacedOverAnyWindow(t *testing.T) {
+	cfg := testConfig()
+	cfg.WarmWithinMs, cfg.Places = 10000, []int{10}
+	total := []float64{}
+	for me := range cfg.Fronts {
+		cfg.Me = me
+		b := start(t, cfg)
+		l := fleet(6)
+		for i := range l {
+			l[i].Health = Gone
+		}
+		l[0].Health, l[0].UpSinceMs = Ready, b.now
+		b.step(Event{Kind: EvServers, Servers: l})
+		for range 900 {
+			b.now += 10
+			if _, acts := b.ask(0, 1); has(acts, ActSend) {
+				total = append(total, b.now)
+				b.step(Event{Kind: EvSettled, Session: b.next - 1, Server: l[0].ID, Outcome: Full})
+			}
+		}
+	}
+	if len(total) < 2 {
+		t.Fatalf("%d set-ups in a warm-up: the server is starved", len(total))
+	}
+	for _, from := range total {
+		n := 0.0
+		for _, at := range total {
+			if at >= from && at < from+cfg.TipAfterMs {
+				n++
+			}
+		}
+		budget := cfg.OverloadFactor * float64(cfg.Places[0]) / cfg.WarmWithinMs * cfg.ColdFrom * cfg.TipAfterMs
+		if n > budget+1 {
+			t.Fatalf("%v set-ups of both fronts within %v ms, budget %v", n, cfg.TipAfterMs, budget)
+		}
+	}
+}
+
+func TestRetryBudget(t *testing.T) {
+	cfg := testConfig()
+	cfg.RetryRationed, cfg.MinExtra, cfg.RepeatRatio, cfg.LookBackMs = true, 1, 0.1, 5000
+	b := start(t, cfg)
+	extra := 0
+	for range 20 {
+		id, acts := b.ask(0, uint64(b.next))
+		to, _, ok := sent(acts)
+		if !ok {
+			continue
+		}
+		if acts = b.settle(id, to, ConnectFailed); has(acts, ActSend) {
+			extra++
+		}
+		b.now += 100
+	}
+	if extra < 1 || extra > 3 {
+		t.Fatalf("%d further attempts for 20 requests; 1 + 0.1 each are allowed", extra)
+	}
+}
+
+// A front that refuses hears nothing new; its old figures must not shut it for good.
+func TestOldFullFiguresFade(t *testing.T) {
+	cfg := testConfig()
+	cfg.UplinkKB = 2400 // less than the faded links of a rack ask together
+	b := start(t, cfg)
+	b.tell(1.1)
+	if _, acts := b.ask(0, 2); has(acts, ActSend) {
+		t.Fatal("sent to a fleet just told full")
+	}
+	b.now += 20000
+	if _, acts := b.ask(0, 2); !has(acts, ActSend) {
+		t.Fatal("still shut after 20 s without any news")
+	}
+}
+
+// A fresh front first hears of full servers; the ones unheard must still be tried.
+func TestUnheardServersAreTried(t *testing.T) {
+	b := start(t, testConfig())
+	b.step(Event{Kind: EvNote, Server: fleet(6)[5].ID, Note: NoteLink, Value: 1.4})
+	if _, acts := b.ask(0, 2); !has(acts, ActSend) {
+		t.Fatal("one full server shut the front")
+	}
+}
+
+// Sessions handed over at the start are in the first measurement: they are no change since then.
+func TestExistingSessionsAreNotCountedTwice(t *testing.T) {
+	b := start(t, testConfig())
+	id := fleet(1)[0].ID
+	for i := range 4 {
+		b.step(Event{Kind: EvExisting, Session: SessionID(500 + i), Server: id, Title: 1, Copies: 3, TopRung: 2})
+		b.step(Event{Kind: EvNote, Session: SessionID(500 + i), Server: id, Note: NoteRung, Value: 2})
+	}
+	b.now += 100
+	b.step(Event{Kind: EvNote, Session: 500, Server: id, Note: NoteLink, Value: 0.85})
+	if got := b.c.linkLoad(b.c.servers[id]); math.Abs(got-0.85) > 0.01 {
+		t.Fatalf("link load %.2f, told 0.85", got)
+	}
+}
+
+// The note of a set-up holds the new session already, whichever event of the batch comes first.
+func TestSetupNoteIsOfNow(t *testing.T) {
+	for _, playFirst := range []bool{true, false} {
+		b := start(t, testConfig())
+		id, acts := b.ask(0, 4)
+		to, _, _ := sent(acts)
+		b.now += 50
+		ev := []Event{{Kind: EvPlaying, Session: id, Server: to},
+			{Kind: EvNote, Session: id, Server: to, Note: NoteLink, Value: 0.5}}
+		if !playFirst {
+			ev[0], ev[1] = ev[1], ev[0]
+		}
+		b.step(ev...)
+		if got := b.c.linkLoad(b.c.servers[to]); math.Abs(got-0.5) > 0.01 {
+			t.Errorf("play first %v: link load %.2f, told 0.50", playFirst, got)
+		}
+	}
+}
+
+// Late notes are silence of all servers: nothing may be done to sessions because of it.
+func TestSilenceOfAllChangesNothing(t *testing.T) {
+	b := start(t, testConfig())
+	b.tell(0.5)
+	id, acts := b.ask(0, 4)
+	to, _, _ := sent(acts)
+	b.play(id, to)
+	for range 40 {
+		b.now += 500
+		for _, a := range b.step(Event{Kind: EvTimer, Timer: tickTimer}) {
+			if a.Kind != ActTimer {
+				t.Fatalf("silence led to %+v", a)
+			}
+		}
+	}
+}
+
+func TestReliefLowersEachSessionOnce(t *testing.T) {
+	b := start(t, testConfig())
+	id := fleet(1)[0].ID
+	for i := range 6 {
+		s := SessionID(500 + i)
+		b.step(Event{Kind: EvExisting, Session: s, Server: id, Title: 1, Copies: 3, TopRung: 2},
+			Event{Kind: EvNote, Session: s, Server: id, Note: NoteRung, Value: 2})
+	}
+	b.now += 1000
+	b.step(Event{Kind: EvNote, Session: 500, Server: id, Note: NoteLink, Value: 2})
+	seen := map[SessionID]int{}
+	for _, a := range b.step(Event{Kind: EvTimer, Timer: tickTimer}) {
+		if a.Kind == ActRung {
+			seen[a.Session]++
+		}
+	}
+	if len(seen) == 0 {
+		t.Fatal("no relief at twice the link")
+	}
+	for s, n := range seen {
+		if n > 1 {
+			t.Errorf("session %d changed %d times in one go", s, n)
+		}
+	}
+	for _, a := range b.step(Event{Kind: EvTimer, Timer: tickTimer}) {
+		if a.Kind == ActRung {
+			t.Fatal("a second relief before a later measurement")
+		}
+	}
+}
+
+func TestRaisesWhereRoomLasts(t *testing.T) {
+	b := start(t, testConfig())
+	id := fleet(1)[0].ID
+	b.step(Event{Kind: EvExisting, Session: 500, Server: id, Title: 1, Copies: 3, TopRung: 2})
+	b.now += 6000
+	b.step(Event{Kind: EvNote, Session: 500, Server: id, Note: NoteLink, Value: 0.1})
+	for range 8 {
+		b.now += 250
+		for _, a := range b.step(Event{Kind: EvTimer, Timer: tickTimer}) {
+			if a.Kind == ActRung && a.Session == 500 && a.Rung == 2 {
+				return
+			}
+		}
+	}
+	t.Fatal("a session on an empty link was not raised to its top in one change")
+}
+
+// TestRulesOnRandomEvents feeds long random but legal event sequences and checks every action.
+func TestRulesOnRandomEvents(t *testing.T) {
+	for seed := range uint64(6) {
+		first := randomRun(t, seed, true)
+		if !reflect.DeepEqual(first, randomRun(t, seed, false)) {
+			t.Fatalf("seed %d: the same events gave other actions", seed)
+		}
+		if len(first) < 500 {
+			t.Fatalf("seed %d: only %d actions", seed, len(first))
+		}
+	}
+}
+
+type liveSession struct {
+	class, title          int
+	deadline              float64
+	server                ServerID
+	out, playing, doubted bool
+	tries, top            int
+}
+
+func randomRun(t *testing.T, seed uint64, check bool) []Action {
+	cfg := testConfig()
+	cfg.RetryRationed, cfg.MinExtra, cfg.RepeatRatio, cfg.LookBackMs = true, 3, 0.3, 5000
+	b := start(t, cfg)
+	r := rand.New(rand.NewPCG(seed, 9))
+	live := map[SessionID]*liveSession{}
+	var order []SessionID
+	off := map[ServerID]bool{}
+	var all []Action
+	var asked, extras []float64
+	fail := func(format string, args ...any) {
+		if check {
+			t.Helper()
+			t.Fatalf(format, args...)
+		}
+	}
+	recent := func(l []float64) (n float64) {
+		for _, at := range l {
+			if at > b.now-cfg.LookBackMs {
+				n++
+			}
+		}
+		return n
+	}
+	for range 6000 {
+		b.now += float64(r.IntN(60))
+		var ev Event
+		switch k := r.IntN(10); {
+		case k < 3:
+			s := &liveSession{class: r.IntN(3), title: r.IntN(5), deadline: b.now + 1000, top: r.IntN(3)}
+			live[b.next] = s
+			order = append(order, b.next)
+			asked = append(asked, b.now)
+			ev = Event{Kind: EvRequest, Session: b.next, Class: s.class, Title: uint64(s.title),
+				RemainingMs: 1000, Home: s.title, Copies: 3, TopRung: s.top}
+			b.next++
+		case k < 4:
+			l := fleet(6)
+			i := r.IntN(6)
+			l[i].Health = []Health{Ready, Ready, Draining, Gone}[r.IntN(4)]
+			if r.IntN(3) == 0 {
+				l[i].UpSinceMs = b.now - 100
+			}
+			off[l[i].ID] = l[i].Health != Ready
+			ev = Event{Kind: EvServers, Delta: true, Servers: l[i : i+1]}
+		case k < 5:
+			ev = Event{Kind: EvNote, Server: fleet(6)[r.IntN(6)].ID, Note: NoteKind(1 + r.IntN(4)), Value: r.Float64() * 1.5}
+		case k < 6:
+			ev = Event{Kind: EvTimer, Timer: tickTimer}
+		default:
+			if len(order) == 0 {
+				continue
+			}
+			id := order[r.IntN(len(order))]
+			s := live[id]
+			if s == nil || !s.out {
+				continue
+			}
+			late := b.now >= s.deadline && !s.playing
+			if !s.playing && !late && r.IntN(2) == 0 {
+				s.playing = true
+				ev = Event{Kind: EvPlaying, Session: id, Server: s.server}
+				break
+			}
+			o := []Outcome{Failed, Full, TimedOut, ConnectFailed, Reset}[r.IntN(5)]
+			if late {
+				o = TimedOut
+			}
+			if s.playing {
+				o = []Outcome{Served, Reset, Cancelled}[r.IntN(3)]
+			}
+			s.out = false
+			s.doubted = s.doubted || o != Full && o != ConnectFailed
+			ev = Event{Kind: EvSettled, Session: id, Server: s.server, Outcome: o, Finished: s.playing}
+			if s.playing {
+				delete(live, id)
+			}
+		}
+		acts := b.step(ev)
+		all = append(all, acts...)
+		for _, a := range acts {
+			s := live[a.Session]
+			switch a.Kind {
+			case ActSend:
+				if s == nil || s.out || b.now >= s.deadline {
+					fail("seed %d: set-up of %d, which is answered, out or late", seed, a.Session)
+				}
+				if s.doubted && cfg.Classes[s.class].Repeat == Once || s.doubted && s.class == 2 {
+					fail("seed %d: a set-up that may have run was sent again", seed)
+				}
+				if off[a.Server] {
+					fail("seed %d: set-up to a server told off", seed)
+				}
+				if s.tries++; s.tries > cfg.MaxAttempts {
+					fail("seed %d: attempt %d", seed, s.tries)
+				}
+				if s.tries > 1 {
+					extras = append(extras, b.now)
+					if recent(extras) > cfg.MinExtra+cfg.RepeatRatio*recent(asked) {
+						fail("seed %d: retry budget broken", seed)
+					}
+				}
+				cell := -1
+				for _, f := range fleet(6) {
+					if f.ID == a.Server {
+						cell = f.Cell
+					}
+				}
+				if (cell-s.title+6)%6 > 2 {
+					fail("seed %d: cell %d does not hold title %d", seed, cell, s.title)
+				}
+				s.out, s.server = true, a.Server
+				n := 0
+				for _, o := range live {
+					if o.out && o.class == 1 && s.class == 1 && o.title == s.title {
+						n++
+					}
+				}
+				if n > 2 {
+					fail("seed %d: %d sessions on 2 seats", seed, n)
+				}
+			case ActRung:
+				if s == nil || a.Rung > s.top || a.Rung < cfg.Classes[s.class].Floor {
+					fail("seed %d: rung %d for session %+v", seed, a.Rung, s)
+				}
+			case ActRefuse, ActFail:
+				if s == nil || s.out {
+					fail("seed %d: second answer for %d", seed, a.Session)
+				}
+				if a.Kind == ActRefuse && s.doubted && s.class != 0 {
+					fail("seed %d: refused a set-up that may have run", seed)
+				}
+				delete(live, a.Session)
+			}
+		}
+		for id, s := range live {
+			if !s.out {
+				fail("seed %d: request %d is held without an attempt", seed, id)
+			}
+		}
+	}
+	return all
+}
