Load reports count half against the estimate

Cause: reports in answers carry up to 14% noise and the age of their refresh; taken as they are, they set off relief and raises against each other. Should also hold against a server that reports wrongly for a while; may hurt where a load really jumps: notes, which count in full, put it right.

--- a/controller.go
+++ b/controller.go
@@ -28,6 +28,7 @@
 	turnMs       = 1000.0  // ms of a front's turn at raising, so that no two fill the same room
 	settleMs     = 4000.0  // ms for which a changed rung is not raised again, against flapping
 	reportAgeMs  = 400.0   // ms that a load report is taken to be old
+	reportPart   = 0.5     // weight of a load report against the estimate: reports are noisy
 	firstTryPart = 0.45    // share of the aim that a repeatable attempt may take when another can follow
 	trialMs      = 1000.0  // ms a failed server rests at first; doubles with each failure in a row
 	trialMaxMs   = 8000.0  // ms it rests at most
@@ -339,10 +340,10 @@
 	}
 	at := c.now - reportAgeMs
 	if r.Link >= 0 {
-		s.link.tell(at, r.Link)
+		s.link.tell(at, r.Link+(c.linkLoad(s)-r.Link)*(1-reportPart))
 	}
 	if r.Uplink >= 0 {
-		s.rack.up.tell(at, r.Uplink)
+		s.rack.up.tell(at, r.Uplink+(c.rackLoad(s.rack)-r.Uplink)*(1-reportPart))
 	}
 	if r.Streams >= 0 {
 		s.others, s.counted = math.Max(0, r.Streams-float64(len(s.sessions))), c.now
--- a/controller_test.go
+++ b/controller_test.go
@@ -615,3 +615,16 @@
 	}
 	return all
 }
+
+// One noisy report must not turn the estimate around.
+func TestAReportCountsInPart(t *testing.T) {
+	b := start(t, testConfig())
+	id := fleet(1)[0].ID
+	b.tell(0.4)
+	b.now += 1000
+	b.step(Event{Kind: EvSettled, Session: 77, Server: id, Outcome: Served, Finished: true,
+		Report: Report{Told: true, Streams: -1, Link: 1.2, Uplink: -1}})
+	if got := b.c.linkLoad(b.c.servers[id]); got < 0.6 || got > 1.0 {
+		t.Fatalf("told 0.4 by note and 1.2 by report: estimate %.2f", got)
+	}
+}
