Learn an untold uplink from servers that fall short alike

Should also hold against a rack switch that drops; may hurt where two links of a rack are slow at once and alike. Also: link sizes no longer need places.

--- a/controller.go
+++ b/controller.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
 )
 
@@ -25,6 +26,11 @@
 	lifeGuessS   = 15.0    // s a session of unknown length is taken to go on
 	packed       = 0.9     // part of a server's streams in use from which room is for those that play
 	raiseUpTo    = 0.75    // the same for an uplink, which averages over more sessions
+	alikeMs      = 1500.0  // ms within which two servers short alike point to their uplink
+	alikeShare   = 0.04    // difference of such shares
+	shortAt      = 1.1     // load from a share above which an uplink is learned from it: less is often chance
+	hungAt       = 3.0     // load from a share above which a server stands still
+	uplinkBack   = 1.01    // growth a tick of a learned uplink back to the mean: 4% a second
 	turnMs       = 1000.0  // ms of a front's turn at raising, so that no two fill the same room
 	settleMs     = 4000.0  // ms for which a changed rung is not raised again, against flapping
 	reportAgeMs  = 400.0   // ms that a load report is taken to be old
@@ -108,8 +114,11 @@
 }
 
 type rack struct {
-	up      gauge
-	servers []*server
+	up             gauge
+	servers        []*server
+	told           bool    // its load is told, not inferred
+	shortBy        *server // the last of its servers to fall short, when, and to what share
+	shortAt, share float64
 }
 
 // session is one request from arrival to end.
@@ -139,7 +148,7 @@
 type Controller struct {
 	cfg           Config
 	rng           *rand.Rand
-	now, began    float64
+	now, perPlace float64 // kB/s of link for each place, where weights tell nothing
 	out           []Action
 	servers       map[ServerID]*server
 	order         []*server   // by id: the order of every walk
@@ -163,7 +172,7 @@
 	}
 	c := &Controller{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x6865616d)), servers: map[ServerID]*server{},
 		sessions: map[SessionID]*session{}, seats: map[seatKey]int{}, tokens: map[uint64]*server{},
-		cells: make([][]*server, cfg.Cells), began: -1, stale: cfg.TellMs + cfg.ToldLateMs + spareMs}
+		cells: make([][]*server, cfg.Cells), stale: cfg.TellMs + cfg.ToldLateMs + spareMs}
 	for range cfg.Racks {
 		c.racks = append(c.racks, &rack{up: gauge{cap: math.Max(cfg.UplinkKB, 1)}})
 	}
@@ -173,9 +182,6 @@
 // Step takes the events of one moment in their order and appends the actions to out.
 func (c *Controller) Step(now float64, events []Event, out []Action) []Action {
 	c.now, c.out = now, out
-	if c.began < 0 {
-		c.began = now
-	}
 	for i := range events {
 		ev := &events[i]
 		switch ev.Kind {
@@ -229,12 +235,8 @@
 		}
 		s.Server, s.off = e, e.Health != Ready
 	}
-	if !ev.Delta {
-		for _, s := range c.order {
-			if !seen[s.ID] {
-				s.off = true
-			}
-		}
+	for _, s := range c.order {
+		s.off = s.off || !ev.Delta && !seen[s.ID]
 	}
 	sort.Slice(c.order, func(i, j int) bool { return c.order[i].ID < c.order[j].ID })
 	clear(c.cells)
@@ -250,21 +252,18 @@
 
 // sizes shares out the told links by weight, or where weights tell nothing by the places of each kind.
 func (c *Controller) sizes() {
-	total := 0.0
-	for _, s := range c.order {
-		if s.Health != Gone {
-			total += c.places(s)
+	size := func(s *server) float64 { return min(c.places(s), 1e6) } // all alike where no places are told
+	if c.perPlace == 0 {
+		total := 0.0
+		for _, s := range c.order {
+			total += size(s)
 		}
+		c.perPlace = c.cfg.AllLinksKB / max(total, 1)
 	}
 	for _, s := range c.order {
-		switch {
-		case c.cfg.WeightsKnown && c.cfg.LinkUnitKB > 0:
-			s.link.cap = math.Max(s.Weight, 0.01) * c.cfg.LinkUnitKB
-		case c.cfg.AllLinksKB > 0 && total > 0 && c.began == c.now:
-			s.link.cap = c.cfg.AllLinksKB * c.places(s) / total
-		}
-		if s.link.cap == 0 {
-			s.link.cap = math.Max(c.cfg.LinkUnitKB, c.cfg.RateKB[0])
+		s.link.cap = size(s) * c.perPlace
+		if c.cfg.WeightsKnown && c.cfg.LinkUnitKB > 0 || s.link.cap == 0 {
+			s.link.cap = math.Max(math.Max(s.Weight, 0.01)*c.cfg.LinkUnitKB, c.cfg.RateKB[0])
 		}
 	}
 }
@@ -343,6 +342,7 @@
 		s.link.tell(at, r.Link+(c.linkLoad(s)-r.Link)*(1-reportPart))
 	}
 	if r.Uplink >= 0 {
+		s.rack.told = true
 		s.rack.up.tell(at, r.Uplink+(c.rackLoad(s.rack)-r.Uplink)*(1-reportPart))
 	}
 	if r.Streams >= 0 {
@@ -365,11 +365,8 @@
 
 func (c *Controller) detach(s *session) {
 	v := s.server
-	for i, o := range v.sessions {
-		if o == s {
-			v.sessions = append(v.sessions[:i], v.sessions[i+1:]...)
-			break
-		}
+	if i := slices.Index(v.sessions, s); i >= 0 {
+		v.sessions = slices.Delete(v.sessions, i, i+1)
 	}
 	kb := c.rate(s.class, s.rung)
 	v.link.add(c.now, -kb)
@@ -447,12 +444,7 @@
 	if c.now < v.until || (v.fails > 0 && (v.pending > 0 || s.class.Repeat == Once)) {
 		return false
 	}
-	for _, id := range s.tried {
-		if id == v.ID {
-			return false
-		}
-	}
-	return true
+	return !slices.Contains(s.tried, v.ID)
 }
 
 // admits is the link-and-stream test: the rung's rate must fit under the mark on the link and the uplink.
@@ -494,14 +486,10 @@
 func (c *Controller) pick(holders []*server, token *server, kb float64) *server {
 	heir, least := (*server)(nil), math.Inf(1)
 	for _, v := range holders {
-		if !c.admits(v, kb) {
-			continue
-		}
-		if v == token {
-			return v
-		}
-		if l := c.load(v); l < least {
-			heir, least = v, l
+		if l := c.load(v); (l < least || v == token) && c.admits(v, kb) {
+			if heir, least = v, l; v == token {
+				break
+			}
 		}
 	}
 	return heir
@@ -717,10 +705,9 @@
 		c.answer(s)
 		return
 	}
-	left := s.deadline - c.now
-	allow := 0.0
+	allow := 0.0 // until the viewer gives up
 	if s.class.Repeat == Repeatable && s.tries+1 < c.cfg.MaxAttempts {
-		allow = math.Min(left, math.Max(s.class.AimMs, 100)) * firstTryPart
+		allow = math.Min(s.deadline-c.now, math.Max(s.class.AimMs, 100)) * firstTryPart
 	}
 	if s.tries > 0 && c.cfg.RetryRationed {
 		c.extras = append(c.extras, c.now)
@@ -792,19 +779,27 @@
 	case NoteLink:
 		v.link.tell(at, ev.Value)
 	case NoteUplink:
+		v.rack.told = true
 		v.rack.up.tell(at, ev.Value)
 	case NoteShare:
 		c.short(v, ev.Value)
 	}
 }
 
-// short takes a share delivered as a measurement of the link, or of an uplink that is never told.
+// short takes a share delivered as a measurement of the link, or of an uplink that is never told where two
+// of its servers fall short alike, more than their links explain: it then learns what the uplink carries.
+// That guards against lowering and raising by turns behind a weak uplink.
 func (c *Controller) short(v *server, share float64) {
 	if share >= 0.98 || share <= 0 {
 		return
 	}
-	x, at := 1/share, c.now-c.cfg.ToldLateMs
-	if c.load(v) < x-0.03 {
+	x, at, r := 1/share, c.now-c.cfg.ToldLateMs, v.rack
+	alike := r.shortBy != v && c.now-r.shortAt < alikeMs && math.Abs(r.share-share) < alikeShare
+	r.shortBy, r.shortAt, r.share = v, c.now, share
+	if alike && !r.told && x > shortAt && x < hungAt && c.linkLoad(v) < x-0.03 {
+		asked := c.rackLoad(r) * r.up.cap
+		r.up.cap, r.up.at = math.Min(r.up.cap, math.Max(asked/x, c.cfg.UplinkKB/hungAt)), at
+	} else if c.load(v) < x-0.03 {
 		v.link.tell(at, x)
 	}
 }
@@ -839,6 +834,7 @@
 
 func (c *Controller) tick() {
 	for _, r := range c.racks {
+		r.up.cap = math.Max(r.up.cap, math.Min(r.up.cap*uplinkBack, c.cfg.UplinkKB))
 		c.relieve(&r.up, c.rackLoad(r), r.servers)
 		for i, v := range r.servers {
 			c.relieve(&v.link, c.linkLoad(v), r.servers[i:i+1])
@@ -849,7 +845,7 @@
 
 // relieve lowers own sessions on a link or uplink that is asked for too much, by this front's part of it.
 func (c *Controller) relieve(g *gauge, load float64, on []*server) {
-	if load <= reliefAt || !g.known || g.eased > g.at {
+	if load <= reliefAt || g.at == 0 || g.eased > g.at {
 		return
 	}
 	part := g.own * (load - reliefTo) / load
