Lower only what falls short; raise uplinks to 0.80

Cause: relief went from 1.0 down to 0.90 and the room was raised into again, each change at its price. May hurt where shortfall is far dearer than here.

--- a/controller.go
+++ b/controller.go
@@ -18,14 +18,14 @@
 
 const (
 	mark         = 0.90    // share of a link or uplink that set-ups may fill: rates spread
-	reliefAt     = 1.0     // load above which own sessions are lowered: from here sessions fall short
-	reliefTo     = 0.90    // load that a relief aims at, the mark of admission
+	reliefAt     = 1.03    // load above which own sessions are lowered: shares under 0.98 cost worth
+	reliefTo     = 1.0     // load that a relief aims at: no more is lowered than what falls short
 	raiseTo      = 0.70    // link load that raising may reach: a change costs, so room is left for set-ups
 	tickMs       = 250.0   // ms between looks at the fleet: well under the second after which viewers notice
 	payback      = 2.0     // a rung is raised only for this many times the price of the change
 	lifeGuessS   = 15.0    // s a session of unknown length is taken to go on
 	packed       = 0.9     // part of a server's streams in use from which room is for those that play
-	raiseUpTo    = 0.75    // the same for an uplink, which averages over more sessions
+	raiseUpTo    = 0.80    // the same for an uplink, which averages over more sessions
 	alikeMs      = 1500.0  // ms within which two servers short alike point to their uplink
 	alikeShare   = 0.04    // difference of such shares
 	shortAt      = 1.1     // load from a share above which an uplink is learned from it: less is often chance
