--- a/controller.go
+++ b/controller.go
@@ -25,7 +25,7 @@
 	payback      = 2.0     // a rung is raised only for this many times the price of the change
 	lifeGuessS   = 15.0    // s a session of unknown length is taken to go on
 	packed       = 0.9     // part of a server's streams in use from which room is for those that play
-	raiseUpTo    = 0.80    // the same for an uplink, which averages over more sessions
+	raiseUpTo    = 0.75    // the same for an uplink, which averages over more sessions
 	alikeMs      = 1500.0  // ms within which two servers short alike point to their uplink
 	alikeShare   = 0.04    // difference of such shares
 	shortAt      = 1.1     // load from a share above which an uplink is learned from it: less is often chance
