--- a/api.go
+++ b/api.go
@@ -45,7 +45,6 @@
 // Class is one kind of session.
 type Class struct {
 	AimMs    float64 // a set-up should play within this
-	GiveUpMs float64 // a viewer waits so long
 	Repeat   Semantics
 	KeyScope Scope
 	KeyTTLMs float64
@@ -53,52 +52,34 @@
 	Scale    float64 // rates of the class over those of the ladder
 	Floor    int     // lowest rung that may be set
 	Top      int     // highest rung
-	Live     bool    // viewers of a title share a stream
 	Seats    int     // sessions of one title a front may hold; 0 = no cap
 }
 
-// Tenant is a customer with a share of the service.
-type Tenant struct {
-	AllowancePerS float64 // sessions a second at all fronts within its share
-	Share         float64
-}
-
 // Config is what a front is told at its start. Figures of zero mean "not stated".
 type Config struct {
-	Me, Fronts, Zone int
-	Classes          []Class
-	Tenants          []Tenant
-	OverShareWorth   float64   // worth of a session beyond its tenant's share
-	RateKB           []float64 // the ladder
-	RungWorth        []float64 // what each rung earns
-	Cells, Racks     int
-	Places           []int   // streams a server of each kind runs at most
-	LinkUnitKB       float64 // link for each unit of a server's weight
-	AllLinksKB       float64 // all links together at the start
-	UplinkKB         float64 // mean uplink of a rack
-	WeightsKnown     bool    // Server.Weight tells sizes apart
-	GuardAt          float64 // a server answers Full at this link load; 0 = never
-	Join             float64 // part of its rate that a further live viewer adds
-	ShortfallCost    float64 // worth lost for each point of rate missing
-	SwitchS          float64 // price of a rung change, seconds of worth
-	TellMs           float64 // time between load notes; 0 = none
-	ToldLateMs       float64 // how late notes are
-	MaxAttempts      int
-	MaxRetryAfterMs  float64
-	RetryAfter       bool
-	MoveCost         float64
-	CrossZoneCost    float64
-	Subscribe        bool // the server list must be asked for
-	AnswerSlackMs    float64
-	DrainGraceMs     float64
-	OverloadFactor   float64
-	TipAfterMs       float64
-	WarmWithinMs     float64
-	ColdFrom         float64
-	RetryRationed    bool // the three figures below apply
-	MinExtra         float64
-	RepeatRatio      float64
-	LookBackMs       float64
+	Me, Fronts      int
+	Classes         []Class
+	RateKB          []float64 // the ladder
+	RungWorth       []float64 // what each rung earns
+	Cells, Racks    int
+	Places          []int   // streams a server of each kind runs at most
+	LinkUnitKB      float64 // link for each unit of a server's weight
+	AllLinksKB      float64 // all links together at the start
+	UplinkKB        float64 // mean uplink of a rack
+	WeightsKnown    bool    // Server.Weight tells sizes apart
+	SwitchS         float64 // price of a rung change, seconds of worth
+	TellMs          float64 // time between load notes; 0 = none
+	ToldLateMs      float64 // how late notes are
+	MaxAttempts     int
+	MaxRetryAfterMs float64
+	RetryAfter      bool
+	Subscribe       bool // the server list must be asked for
+	WarmWithinMs    float64
+	ColdFrom        float64
+	RetryRationed   bool // the three figures below apply
+	MinExtra        float64
+	RepeatRatio     float64
+	LookBackMs      float64
 }
 
 // Health is what the server list says of a server.
@@ -176,17 +157,12 @@
 	Session     SessionID
 	Server      ServerID
 	Class       int
-	Tenant      int
-	Viewer      uint64 // the same when a viewer comes again
 	Title       uint64
 	RemainingMs float64 // until the viewer gives up this try
 	HintMs      float64 // rough length of the session; 0 = none
 	Home        int     // first cell that holds the title
 	Copies      int     // cells in a row that hold it
 	TopRung     int     // highest rung of this viewer
-	Again       bool
-	Moved       bool
-	Attempt     int
 	TookMs      float64
 	Outcome     Outcome
 	Finished    bool
@@ -256,7 +232,7 @@
 		}
 	}
 	for i, k := range c.Classes {
-		if !figure(k.AimMs) || !figure(k.GiveUpMs) || !figure(k.KeyTTLMs) || !figure(k.Value) || !figure(k.Scale) {
+		if !figure(k.AimMs) || !figure(k.KeyTTLMs) || !figure(k.Value) || !figure(k.Scale) {
 			return fmt.Errorf("headmill: Classes[%d] has a negative or non-finite figure", i)
 		}
 		if k.Scale == 0 || k.Floor < 0 || k.Floor >= len(c.RateKB) || k.Top < k.Floor || k.Seats < 0 {
@@ -264,21 +240,16 @@
 				i, k.Scale, k.Floor, k.Top, k.Seats, len(c.RateKB))
 		}
 	}
-	for i, t := range c.Tenants {
-		if !figure(t.AllowancePerS) || !figure(t.Share) {
-			return fmt.Errorf("headmill: Tenants[%d] has a negative or non-finite figure", i)
-		}
-	}
 	for _, f := range []struct {
 		name string
 		v    float64
 	}{
-		{"OverShareWorth", c.OverShareWorth}, {"LinkUnitKB", c.LinkUnitKB}, {"AllLinksKB", c.AllLinksKB},
-		{"UplinkKB", c.UplinkKB}, {"GuardAt", c.GuardAt}, {"Join", c.Join}, {"ShortfallCost", c.ShortfallCost},
+		{"LinkUnitKB", c.LinkUnitKB}, {"AllLinksKB", c.AllLinksKB},
+		{"UplinkKB", c.UplinkKB},
 		{"SwitchS", c.SwitchS}, {"TellMs", c.TellMs}, {"ToldLateMs", c.ToldLateMs},
-		{"MaxRetryAfterMs", c.MaxRetryAfterMs}, {"MoveCost", c.MoveCost}, {"CrossZoneCost", c.CrossZoneCost},
-		{"AnswerSlackMs", c.AnswerSlackMs}, {"DrainGraceMs", c.DrainGraceMs},
-		{"OverloadFactor", c.OverloadFactor}, {"TipAfterMs", c.TipAfterMs}, {"WarmWithinMs", c.WarmWithinMs},
+		{"MaxRetryAfterMs", c.MaxRetryAfterMs},
+
+		{"WarmWithinMs", c.WarmWithinMs},
 		{"ColdFrom", c.ColdFrom}, {"MinExtra", c.MinExtra}, {"RepeatRatio", c.RepeatRatio},
 		{"LookBackMs", c.LookBackMs},
 	} {
--- a/controller_test.go
+++ b/controller_test.go
@@ -10,13 +10,13 @@
 // testConfig is a small fleet: 6 cells in 2 racks, links of 1000 kB/s, uplinks of 3000.
 func testConfig() Config {
 	return Config{Fronts: 2, Classes: []Class{
-		{AimMs: 1000, GiveUpMs: 3000, Repeat: Repeatable, Value: 1, Scale: 1, Top: 2},
-		{AimMs: 1000, GiveUpMs: 3000, Repeat: Once, Value: 3, Scale: 1, Top: 2, Seats: 2},
-		{AimMs: 1000, GiveUpMs: 3000, Repeat: ByKey, KeyScope: ScopeCell, KeyTTLMs: 2000, Value: 1, Scale: 1, Floor: 1, Top: 2}},
+		{AimMs: 1000, Repeat: Repeatable, Value: 1, Scale: 1, Top: 2},
+		{AimMs: 1000, Repeat: Once, Value: 3, Scale: 1, Top: 2, Seats: 2},
+		{AimMs: 1000, Repeat: ByKey, KeyScope: ScopeCell, KeyTTLMs: 2000, Value: 1, Scale: 1, Floor: 1, Top: 2}},
 		RateKB: []float64{50, 100, 200}, RungWorth: []float64{0.3, 0.6, 1}, Cells: 6, Racks: 2, Places: []int{20},
-		LinkUnitKB: 1000, AllLinksKB: 6000, UplinkKB: 3000, WeightsKnown: true, ShortfallCost: 6, SwitchS: 0.5,
-		TellMs: 2000, ToldLateMs: 500, MaxAttempts: 3, MaxRetryAfterMs: 800, RetryAfter: true, AnswerSlackMs: 40,
-		DrainGraceMs: 250, OverloadFactor: 2, TipAfterMs: 1000, WarmWithinMs: 10000, ColdFrom: 0.5}
+		LinkUnitKB: 1000, AllLinksKB: 6000, UplinkKB: 3000, WeightsKnown: true, SwitchS: 0.5,
+		TellMs: 2000, ToldLateMs: 500, MaxAttempts: 3, MaxRetryAfterMs: 800, RetryAfter: true,
+		WarmWithinMs: 10000, ColdFrom: 0.5}
 }
 
 func fleet(n int) []Server {
@@ -293,16 +293,17 @@
 	if len(total) < 2 {
 		t.Fatalf("%d set-ups in a warm-up: the server is starved", len(total))
 	}
+	const factor, window = 2, 1000.0 // the fleet falls over beyond factor times its pace for window ms
 	for _, from := range total {
 		n := 0.0
 		for _, at := range total {
-			if at >= from && at < from+cfg.TipAfterMs {
+			if at >= from && at < from+window {
 				n++
 			}
 		}
-		budget := cfg.OverloadFactor * float64(cfg.Places[0]) / cfg.WarmWithinMs * cfg.ColdFrom * cfg.TipAfterMs
+		budget := factor * float64(cfg.Places[0]) / cfg.WarmWithinMs * cfg.ColdFrom * window
 		if n > budget+1 {
-			t.Fatalf("%v set-ups of both fronts within %v ms, budget %v", n, cfg.TipAfterMs, budget)
+			t.Fatalf("%v set-ups of both fronts within %v ms, budget %v", n, window, budget)
 		}
 	}
 }
--- a/example_test.go
+++ b/example_test.go
@@ -10,7 +10,7 @@
 func Example() {
 	front, err := headmill.New(headmill.Config{
 		Fronts: 1, Cells: 3, Racks: 1, MaxAttempts: 2,
-		Classes: []headmill.Class{{AimMs: 1000, GiveUpMs: 3000, Value: 1, Scale: 1, Top: 1}},
+		Classes: []headmill.Class{{AimMs: 1000, Value: 1, Scale: 1, Top: 1}},
 		RateKB:  []float64{300, 900}, RungWorth: []float64{0.4, 1},
 		Places: []int{50}, LinkUnitKB: 10000, AllLinksKB: 10000, UplinkKB: 9000,
 	}, 42)
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -91,25 +91,20 @@
 	}
 	fam := "family_info."
 	floors, tops := t.nums(fam+"floor_by_class"), t.nums(fam+"top_by_class")
-	scales, seats, live := t.nums(fam+"scale_by_class"), t.nums(fam+"class_seats"), t.list(fam+"live")
+	scales, seats := t.nums(fam+"scale_by_class"), t.nums(fam+"class_seats")
 	_, rationed := t.kv["safety.repeat_ratio"]
 	_, least := t.kv["safety.min_extra"]
 	c := headmill.Config{
-		Me: t.int("me"), Fronts: t.int("replicas_of_me"), Zone: t.int("zone"),
-		OverShareWorth: t.num("over_share_worth"),
-		RateKB:         t.nums(fam + "level_kb"), RungWorth: t.nums(fam + "ladder_worth"),
+		Me: t.int("me"), Fronts: t.int("replicas_of_me"),
+		RateKB: t.nums(fam + "level_kb"), RungWorth: t.nums(fam + "ladder_worth"),
 		Cells: t.int(fam + "cells"), Racks: t.int(fam + "racks"),
 		LinkUnitKB: t.num(fam + "link_unit_kb"), AllLinksKB: t.num(fam + "all_links_kb"),
 		UplinkKB: t.num(fam + "uplink_kb"), WeightsKnown: t.str("weights") != "off" && t.str("weights") != "",
-		GuardAt: t.num(fam + "guard"), Join: t.num(fam + "join"),
-		ShortfallCost: t.num(fam + "shortfall_cost"), SwitchS: t.num(fam + "switch_s"),
-		TellMs: t.num(fam + "tell_ms"), ToldLateMs: t.num(fam + "told_late_ms"),
+		SwitchS: t.num(fam + "switch_s"),
+		TellMs:  t.num(fam + "tell_ms"), ToldLateMs: t.num(fam + "told_late_ms"),
 		MaxAttempts:     t.int("allowed.max_attempts"),
 		MaxRetryAfterMs: t.num("allowed.max_retry_after_ms"), RetryAfter: t.bool("allowed.retry_after"),
-		MoveCost: t.num("deductions.moves"), CrossZoneCost: t.num("deductions.cross_zone"),
-		Subscribe:     t.str("discovery") == "subscribe",
-		AnswerSlackMs: t.num("safety.answer_slack_ms"), DrainGraceMs: t.num("safety.drain_grace_ms"),
-		OverloadFactor: t.num("safety.overload_factor"), TipAfterMs: t.num("safety.tip_after_ms"),
+		Subscribe:    t.str("discovery") == "subscribe",
 		WarmWithinMs: t.num("safety.warm_within_ms"), ColdFrom: t.num("safety.cold_from"),
 		RetryRationed: rationed || least, MinExtra: t.num("safety.min_extra"),
 		RepeatRatio: t.num("safety.repeat_ratio"), LookBackMs: t.num("safety.look_back_ms"),
@@ -119,11 +114,10 @@
 	}
 	for i := range t.count("categories") {
 		p := fmt.Sprintf("categories.%d.", i)
-		k := headmill.Class{AimMs: t.num(p + "slo_ms"), GiveUpMs: t.num(p + "give_up_ms"),
+		k := headmill.Class{AimMs: t.num(p + "slo_ms"),
 			KeyTTLMs: t.num(p + "key_ttl_ms"), Value: t.num(p + "value"),
 			Scale: at(scales, i, 1), Floor: int(at(floors, i, 0)),
-			Top: int(at(tops, i, float64(len(c.RateKB)-1))), Seats: int(at(seats, i, 0)),
-			Live: i < len(live) && live[i] == "true"}
+			Top: int(at(tops, i, float64(len(c.RateKB)-1))), Seats: int(at(seats, i, 0))}
 		switch t.str(p + "semantics") {
 		case "repeatable":
 		case "by_key":
@@ -139,13 +133,8 @@
 		}
 		c.Classes = append(c.Classes, k)
 	}
-	for i := range t.count("tenants") {
-		p := fmt.Sprintf("tenants.%d.", i)
-		c.Tenants = append(c.Tenants, headmill.Tenant{
-			AllowancePerS: t.num(p + "allowance_per_s"), Share: t.num(p + "share")})
-	}
 	for name, list := range map[string]int{"floor_by_class": len(floors), "top_by_class": len(tops),
-		"scale_by_class": len(scales), "class_seats": len(seats), "live": len(live)} {
+		"scale_by_class": len(scales), "class_seats": len(seats)} {
 		if list != 0 && list != len(c.Classes) && t.err == nil {
 			t.err = fmt.Errorf("wire: setting %s%s has %d values for %d classes", fam, name, list, len(c.Classes))
 		}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -164,14 +164,14 @@
 	ev := &m.Event
 	switch b[0] {
 	case 1: // SIGNAL
-		ev.Kind, ev.Session, ev.Attempt = headmill.EvNote, headmill.SessionID(u32(b[3:])), int(u16(b[7:]))
+		ev.Kind, ev.Session = headmill.EvNote, headmill.SessionID(u32(b[3:]))
 		ev.Server, ev.Note, ev.Value = serverID(b[9:]), headmill.NoteKind(b[15]), f32(b[16:])
 	case 2: // HEADERS
-		ev.Kind, ev.Session, ev.Attempt = headmill.EvPlaying, headmill.SessionID(u32(b[3:])), int(u16(b[7:]))
+		ev.Kind, ev.Session = headmill.EvPlaying, headmill.SessionID(u32(b[3:]))
 		ev.Server, ev.TookMs = serverID(b[9:]), f64(b[15:])
 	case 3: // QUERY
 		ev.Kind, ev.Session, ev.Class = headmill.EvRequest, headmill.SessionID(u32(b[3:])), int(u16(b[7:]))
-		ev.Tenant, ev.Viewer, ev.Title = int(u32(b[9:])), u64(b[13:]), u64(b[21:])
+		ev.Title = u64(b[21:])
 		ev.RemainingMs = f64(b[29:])
 		err = sessionTail(ev, b[37:], b[45:], b[49:], b[53:], b[57])
 	case 4: // BELL
@@ -180,8 +180,8 @@
 		_, err = span(b[5:], tail, 1)
 		return m, false, err // fronts here do not post
 	case 6: // PREEXISTING
-		ev.Kind, ev.Session, ev.Viewer = headmill.EvExisting, headmill.SessionID(u32(b[3:])), u64(b[7:])
-		ev.Server, ev.Tenant, ev.RemainingMs = serverID(b[15:]), int(u32(b[30:])), f64(b[46:])
+		ev.Kind, ev.Session = headmill.EvExisting, headmill.SessionID(u32(b[3:]))
+		ev.Server, ev.RemainingMs = serverID(b[15:]), f64(b[46:])
 		ev.Class, ev.Title = int(u16(b[54:])), u64(b[56:])
 		err = sessionTail(ev, b[38:], b[26:], b[34:], b[21:], b[25])
 	case 7: // SYNC
@@ -219,7 +219,7 @@
 		ev.Kind, ev.Session = headmill.EvGone, headmill.SessionID(u32(b[3:]))
 	case 11: // SETTLED
 		ev.Kind, ev.Session, ev.Finished = headmill.EvSettled, headmill.SessionID(u32(b[3:])), b[7] != 0
-		ev.Attempt, ev.TookMs, ev.Outcome = int(u16(b[8:])), f64(b[10:]), headmill.Outcome(u16(b[18:]))
+		ev.TookMs, ev.Outcome = f64(b[10:]), headmill.Outcome(u16(b[18:]))
 		ev.Server = serverID(b[20:])
 		ev.Report, err = d.report(m.Instance, b[26:])
 	case 12: // LIST
@@ -245,7 +245,6 @@
 	if flags&1 != 0 {
 		ev.HintMs = f64(hint)
 	}
-	ev.Moved, ev.Again = flags&8 != 0, flags&16 != 0
 	return nil
 }
 
