--- a/controller.go
+++ b/controller.go
@@ -540,19 +540,22 @@
 	return v.link.cap * math.Min(1, v.rack.up.cap/math.Max(links, 1))
 }
 
-// price is the worth of a kB/s at which this front's sessions on the holders, the newcomer included, would
-// just fill its part of what they carry. Departure from "the viewer's highest rung first".
+// price is the worth of a kB/s at which all sessions on the holders, the newcomer included, would just fill
+// what they carry. The front's own sessions stand for those of all fronts, so that the price does not
+// depend on how many fronts there are. Departure from "the viewer's highest rung first".
 func (c *Controller) price(holders []*server, s *session) float64 {
 	c.pool = append(c.pool[:0], s)
-	own, asked, room := 0.0, 0.0, 0.0
-	for _, v := range holders {
+	mid := c.cfg.RateKB[len(c.cfg.RateKB)/2] * s.class.Scale
+	own, asked, room := mid, mid, 0.0
+	for _, v := range c.order {
 		own += v.link.own
+		c.pool = append(c.pool, v.sessions...)
+	}
+	for _, v := range holders {
 		asked += math.Max(c.linkLoad(v)*v.link.cap, v.link.own)
 		room += c.effective(v) * mark
-		c.pool = append(c.pool, v.sessions...)
 	}
-	mid := c.cfg.RateKB[len(c.cfg.RateKB)/2]
-	budget := room * math.Min(1, (own+mid)/(asked+mid*float64(c.cfg.Fronts)))
+	budget := room * own / asked
 	low, high := 0.0, 0.0
 	for i := range c.cfg.Classes {
 		k := &c.cfg.Classes[i]
