--- a/controller.go
+++ b/controller.go
@@ -148,6 +148,7 @@
 type Controller struct {
 	cfg           Config
 	rng           *rand.Rand
+	salt          uint64  // makes the order among equals this front's own
 	now, perPlace float64 // kB/s of link for each place, where weights tell nothing
 	out           []Action
 	servers       map[ServerID]*server
@@ -173,6 +174,7 @@
 	c := &Controller{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x6865616d)), servers: map[ServerID]*server{},
 		sessions: map[SessionID]*session{}, seats: map[seatKey]int{}, tokens: map[uint64]*server{},
 		cells: make([][]*server, cfg.Cells), stale: cfg.TellMs + cfg.ToldLateMs + spareMs}
+	c.salt = c.rng.Uint64()
 	for range cfg.Racks {
 		c.racks = append(c.racks, &rack{up: gauge{cap: math.Max(cfg.UplinkKB, 1)}})
 	}
@@ -469,7 +471,7 @@
 	}
 	for rung := want; rung >= s.class.Floor && rung <= s.top; rung-- { // none for a viewer under the floor
 		kb := c.rate(s.class, rung)
-		v := c.pick(holders, token, kb)
+		v := c.pick(s, holders, token, kb)
 		if v == nil {
 			v = c.makeRoom(s, holders, rung, kb)
 		}
@@ -483,11 +485,14 @@
 }
 
 // pick keeps the token where it is while its holder admits, else finds the least-loaded holder that does.
-func (c *Controller) pick(holders []*server, token *server, kb float64) *server {
-	heir, least := (*server)(nil), math.Inf(1)
+// A holder of which nothing is known fails: a front that cannot see it would fill it together with all others.
+// Where loads are equal, as for all unheard servers, each front has an order of its own.
+func (c *Controller) pick(s *session, holders []*server, token *server, kb float64) *server {
+	heir, least, first := (*server)(nil), math.Inf(1), uint64(0)
 	for _, v := range holders {
-		if l := c.load(v); (l < least || v == token) && c.admits(v, kb) {
-			if heir, least = v, l; v == token {
+		l, o := c.load(v), mix(mix(s.title^c.salt)^uint64(v.ID))
+		if (l < least || l == least && o > first || v == token && c.seen(v)) && c.admits(v, kb) {
+			if heir, least, first = v, l, o; v == token && c.seen(v) {
 				break
 			}
 		}
@@ -495,6 +500,9 @@
 	return heir
 }
 
+// seen tells whether a server's load has been heard lately.
+func (c *Controller) seen(v *server) bool { return v.link.known && c.now-v.link.at <= c.stale }
+
 // home is the first holder of a title's token: rendezvous hashing, alike at every front.
 func home(holders []*server, title uint64) *server {
 	best, top := (*server)(nil), uint64(0)
