Raise by a front's part of the room on each measurement; steps rounded by chance

Cause: raise let a front act once in Fronts seconds, so at a hundred fronts handed-over and new sessions stayed on their first rung; relief rounded to whole steps did nothing or all. Now each measurement gives a front its own sessions' part of the room, the last step by chance with the right expectation.

--- a/controller.go
+++ b/controller.go
@@ -31,7 +31,6 @@
 	shortAt      = 1.1     // load from a share above which an uplink is learned from it: less is often chance
 	hungAt       = 3.0     // load from a share above which a server stands still
 	uplinkBack   = 1.01    // growth a tick of a learned uplink back to the mean: 4% a second
-	turnMs       = 1000.0  // ms of a front's turn at raising, so that no two fill the same room
 	settleMs     = 4000.0  // ms for which a changed rung is not raised again, against flapping
 	reportAgeMs  = 400.0   // ms that a load report is taken to be old
 	reportPart   = 0.5     // weight of a load report against the estimate: reports are noisy
@@ -110,7 +109,7 @@
 	until, full      float64 // no set-up before then: it failed; it answered full
 	lost             bool    // seen to fail as a whole: cold when it answers again
 	coldAt, lastCold float64 // start of its warm-up as far as known, 0 = warm; last set-up while cold
-	logged           float64
+	logged, raised   float64 // last line about it; last look for room to raise
 }
 
 type rack struct {
@@ -130,7 +129,7 @@
 	home, n, top        int // first cell, cells, highest rung
 	deadline, endGuess  float64
 	server              *server // of the attempt that is out or plays
-	rung                int
+	rung, plan          int     // in force; what lower or raise means to set
 	playing, mayHaveRun bool
 	tries               int
 	tried               []ServerID
@@ -160,10 +159,9 @@
 	tokens        map[uint64]*server // by title
 	taken, extras []float64          // times of requests and of further attempts within the look-back
 	ticking       bool
-	raised, stale float64    // the last turn used at raising; ms after which a measurement is old
+	stale         float64    // ms after which a measurement is old
 	scratch       []*server  // of holders
 	pool          []*session // of price and lower
-	was           []int      // of lower and raise
 }
 
 // New makes the controller of one front. It owns all its state; seed is its only source of chance.
@@ -485,14 +483,15 @@
 }
 
 // pick keeps the token where it is while its holder admits, else finds the least-loaded holder that does.
-// A holder of which nothing is known fails: a front that cannot see it would fill it together with all others.
+// A holder of which nothing is known fails: fronts that cannot see it would fill it together.
 // Where loads are equal, as for all unheard servers, each front has an order of its own.
 func (c *Controller) pick(s *session, holders []*server, token *server, kb float64) *server {
 	heir, least, first := (*server)(nil), math.Inf(1), uint64(0)
 	for _, v := range holders {
-		l, o := c.load(v), mix(mix(s.title^c.salt)^uint64(v.ID))
-		if (l < least || l == least && o > first || v == token && c.seen(v)) && c.admits(v, kb) {
-			if heir, least, first = v, l, o; v == token && c.seen(v) {
+		l, o := c.load(v), mix(s.title^c.salt^mix(uint64(v.ID)))
+		stays := v == token && c.seen(v)
+		if (l < least || l == least && o > first || stays) && c.admits(v, kb) {
+			if heir, least, first = v, l, o; stays {
 				break
 			}
 		}
@@ -584,12 +583,15 @@
 	return high
 }
 
+// gain is the worth of a second of a step up from a rung.
+func (c *Controller) gain(s *session, rung int) float64 { return c.worth(s, rung+1) - c.worth(s, rung) }
+
 // loss is the worth given up for each kB/s freed when a session goes down one rung.
 func (c *Controller) loss(s *session) float64 {
-	if s.rung <= s.class.Floor {
+	if s.plan <= s.class.Floor {
 		return math.Inf(1)
 	}
-	return (c.worth(s, s.rung) - c.worth(s, s.rung-1)) / (c.rate(s.class, s.rung) - c.rate(s.class, s.rung-1))
+	return c.gain(s, s.plan-1) / (c.rate(s.class, s.plan) - c.rate(s.class, s.plan-1))
 }
 
 // makeRoom lowers own sessions that earn less for their last kB than the newcomer would, at the first
@@ -621,11 +623,9 @@
 // changes once. On server at only its own sessions free the link. Under all it is everything or nothing,
 // else the nearest step, so that all fronts together free an excess about once.
 func (c *Controller) lower(link, up float64, at *server, dearest float64, all bool) bool {
-	was := c.was[:0]
 	for _, o := range c.pool {
-		was = append(was, o.rung)
+		o.plan = o.rung
 	}
-	c.was = was
 	for link > 0 || up > 0 {
 		best, least := (*session)(nil), dearest
 		for _, o := range c.pool {
@@ -634,29 +634,23 @@
 			}
 		}
 		if best == nil && all {
-			for i, o := range c.pool {
-				o.rung = was[i]
-			}
 			return false
 		}
 		if best == nil {
 			break
 		}
-		kb := c.rate(best.class, best.rung) - c.rate(best.class, best.rung-1)
-		if !all && math.Max(link, up) < kb/2 {
+		kb := c.rate(best.class, best.plan) - c.rate(best.class, best.plan-1)
+		if !all && math.Max(link, up) < kb*c.rng.Float64() {
 			break
 		}
-		best.rung--
+		best.plan--
 		up -= kb
 		if at == nil || best.server == at {
 			link -= kb
 		}
 	}
-	for i, o := range c.pool {
-		if to := o.rung; to != was[i] {
-			o.rung = was[i]
-			c.setRung(o, to)
-		}
+	for _, o := range c.pool {
+		c.setRung(o, o.plan)
 	}
 	return true
 }
@@ -868,48 +862,44 @@
 	g.eased = c.now
 }
 
-// raise lifts playing sessions where room lasts, the most worth for a kB first, in one change each; fronts
-// take turns by the clock, so that what one used is told to the next.
+// raise lifts playing sessions where room lasts, the most worth for a kB first, in one change each. On each
+// new measurement a front takes the part of the room that its sessions have of what is asked; a last step
+// that does not fit whole is taken by chance, so that all fronts together fill about the room.
 func (c *Controller) raise() {
-	turn := math.Floor(c.now / turnMs)
-	if turn == c.raised || int(turn)%c.cfg.Fronts != c.cfg.Me {
-		return
-	}
-	c.raised = turn
 	for _, v := range c.order {
-		if v.off || c.now < v.until || !v.link.known || c.now-v.link.at > c.stale+c.cfg.TellMs {
+		if len(v.sessions) == 0 || v.off || c.now < v.until || !c.seen(v) || v.raised >= v.link.at {
 			continue
 		}
+		v.raised = c.now
 		limit, limitUp := raiseTo, raiseUpTo
 		if c.streams(v) >= packed*c.places(v) {
 			limit, limitUp = mark, mark // no stream is left for newcomers to use the room
 		}
-		room := math.Min((limit-c.linkLoad(v))*v.link.cap, (limitUp-c.rackLoad(v.rack))*v.rack.up.cap)
-		c.was = c.was[:0]
+		link, up := c.linkLoad(v), c.rackLoad(v.rack)
+		room := v.link.own * math.Min(limit/math.Max(link, 0.01)-1, limitUp/math.Max(up, 0.01)-1)
 		for _, s := range v.sessions {
-			c.was = append(c.was, s.rung)
+			s.plan = s.rung
 		}
 		for room > 0 {
 			best, most, used := (*session)(nil), 0.0, 0.0
 			for _, s := range v.sessions {
-				if !s.playing || s.rung >= s.top || c.now-s.changed < settleMs {
+				if !s.playing || s.plan >= s.top || c.now-s.changed < settleMs {
 					continue
 				}
-				kb := c.rate(s.class, s.rung+1) - c.rate(s.class, s.rung)
-				if w := (c.worth(s, s.rung+1) - c.worth(s, s.rung)) / kb; kb <= room && w > most {
+				kb := c.rate(s.class, s.plan+1) - c.rate(s.class, s.plan)
+				if w := c.gain(s, s.plan) / kb; w > most {
 					best, most, used = s, w, kb
 				}
 			}
-			if best == nil {
+			if best == nil || room < used*c.rng.Float64() {
 				break
 			}
-			best.rung++
+			best.plan++
 			room -= used
 		}
-		for i, s := range v.sessions {
-			to := s.rung
-			if s.rung = c.was[i]; c.pays(s, to) {
-				c.setRung(s, to)
+		for _, s := range v.sessions {
+			if c.pays(s, s.plan) {
+				c.setRung(s, s.plan)
 			}
 		}
 	}
