--- a/controller.go
+++ b/controller.go
@@ -465,7 +465,7 @@
 	want := c.bestRung(s, c.price(holders, s))
 	token := c.tokens[s.title]
 	if token == nil {
-		token = home(holders, s.title)
+		token = c.home(holders, s.title)
 	}
 	for rung := want; rung >= s.class.Floor && rung <= s.top; rung-- { // none for a viewer under the floor
 		kb := c.rate(s.class, rung)
@@ -483,15 +483,13 @@
 }
 
 // pick keeps the token where it is while its holder admits, else finds the least-loaded holder that does.
-// A holder of which nothing is known fails: fronts that cannot see it would fill it together.
-// Where loads are equal, as for all unheard servers, each front has an order of its own.
+// Where loads are equal, as for all unheard servers, the title's order decides.
 func (c *Controller) pick(s *session, holders []*server, token *server, kb float64) *server {
 	heir, least, first := (*server)(nil), math.Inf(1), uint64(0)
 	for _, v := range holders {
-		l, o := c.load(v), mix(s.title^c.salt^mix(uint64(v.ID)))
-		stays := v == token && c.seen(v)
-		if (l < least || l == least && o > first || stays) && c.admits(v, kb) {
-			if heir, least, first = v, l, o; stays {
+		l, o := c.load(v), mix(mix(s.title)^uint64(v.ID))
+		if (l < least || l == least && o > first || v == token) && c.admits(v, kb) {
+			if heir, least, first = v, l, o; v == token {
 				break
 			}
 		}
@@ -502,15 +500,22 @@
 // seen tells whether a server's load has been heard lately.
 func (c *Controller) seen(v *server) bool { return v.link.known && c.now-v.link.at <= c.stale }
 
-// home is the first holder of a title's token: rendezvous hashing, alike at every front.
-func home(holders []*server, title uint64) *server {
-	best, top := (*server)(nil), uint64(0)
+// home is where a title's token starts: one of the first two holders in an order alike at every front, by the
+// front's own chance, so that fronts that hear nothing of a title's home do not all fill it.
+func (c *Controller) home(holders []*server, title uint64) *server {
+	var best, next *server
+	top, second := uint64(0), uint64(0)
 	for _, v := range holders {
-		h := mix(mix(title) ^ uint64(v.ID))
-		if best == nil || h > top {
-			best, top = v, h
+		switch h := mix(mix(title) ^ uint64(v.ID)); {
+		case best == nil || h > top:
+			best, next, top, second = v, best, h, top
+		case next == nil || h > second:
+			next, second = v, h
 		}
 	}
+	if next != nil && mix(title^c.salt)&1 == 1 {
+		return next
+	}
 	return best
 }
 
