--- a/api.go
+++ b/api.go
@@ -58,6 +58,7 @@
 // Config is what a front is told at its start. Figures of zero mean "not stated".
 type Config struct {
 	Me, Fronts      int
+	Zone            int // the front's own, as in Server.Zone
 	Classes         []Class
 	RateKB          []float64 // the ladder
 	RungWorth       []float64 // what each rung earns
--- a/controller.go
+++ b/controller.go
@@ -42,6 +42,7 @@
 	staleFadeMs  = 3000.0  // ms in which it fades by two thirds
 	spareMs      = 1000.0  // ms past the told interval and lateness after which a measurement is old
 	streamFadeMs = 15000.0 // ms in which told streams of others fade by two thirds: sessions end unseen
+	farLoad      = 0.1     // load that a near holder may have over a far one: crossing zones has a price
 	guessLoad    = 0.5     // load of a fleet of which nothing has been heard
 	logEveryMs   = 2000.0  // ms between log lines about one server
 	tickTimer    = 1
@@ -147,7 +148,6 @@
 type Controller struct {
 	cfg           Config
 	rng           *rand.Rand
-	salt          uint64  // makes the order among equals this front's own
 	now, perPlace float64 // kB/s of link for each place, where weights tell nothing
 	out           []Action
 	servers       map[ServerID]*server
@@ -172,7 +172,6 @@
 	c := &Controller{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x6865616d)), servers: map[ServerID]*server{},
 		sessions: map[SessionID]*session{}, seats: map[seatKey]int{}, tokens: map[uint64]*server{},
 		cells: make([][]*server, cfg.Cells), stale: cfg.TellMs + cfg.ToldLateMs + spareMs}
-	c.salt = c.rng.Uint64()
 	for range cfg.Racks {
 		c.racks = append(c.racks, &rack{up: gauge{cap: math.Max(cfg.UplinkKB, 1)}})
 	}
@@ -289,6 +288,9 @@
 	return math.Min(sum/n, staleTo) // a fresh front that hears of full ones stays open
 }
 
+// seen tells whether a server's load has been heard lately.
+func (c *Controller) seen(v *server) bool { return v.link.known && c.now-v.link.at <= c.stale }
+
 // linkLoad and rackLoad are the one estimate of a link and of an uplink.
 func (c *Controller) linkLoad(s *server) float64 {
 	if s.link.known {
@@ -305,7 +307,7 @@
 	for _, s := range r.servers {
 		if !s.off {
 			kb := c.linkLoad(s) * s.link.cap
-			if asked += kb; s.link.known && c.now-s.link.at < c.stale {
+			if asked += kb; c.seen(s) {
 				heard += kb
 			}
 		}
@@ -462,12 +464,13 @@
 
 func (c *Controller) place(s *session) {
 	holders := c.holders(s)
-	want := c.bestRung(s, c.price(holders, s))
+	least := c.leastRung(s)
+	want := max(c.bestRung(s, c.price(holders, s)), least)
 	token := c.tokens[s.title]
 	if token == nil {
 		token = c.home(holders, s.title)
 	}
-	for rung := want; rung >= s.class.Floor && rung <= s.top; rung-- { // none for a viewer under the floor
+	for rung := want; rung >= least && rung <= s.top; rung-- { // none for a viewer under the floor
 		kb := c.rate(s.class, rung)
 		v := c.pick(s, holders, token, kb)
 		if v == nil {
@@ -487,7 +490,10 @@
 func (c *Controller) pick(s *session, holders []*server, token *server, kb float64) *server {
 	heir, least, first := (*server)(nil), math.Inf(1), uint64(0)
 	for _, v := range holders {
-		l, o := c.load(v), mix(mix(s.title)^uint64(v.ID))
+		l, o := c.load(v), c.turn(v, s.title)
+		if v.Zone != c.cfg.Zone {
+			l += farLoad
+		}
 		if (l < least || l == least && o > first || v == token) && c.admits(v, kb) {
 			if heir, least, first = v, l, o; v == token {
 				break
@@ -497,28 +503,27 @@
 	return heir
 }
 
-// seen tells whether a server's load has been heard lately.
-func (c *Controller) seen(v *server) bool { return v.link.known && c.now-v.link.at <= c.stale }
-
-// home is where a title's token starts: one of the first two holders in an order alike at every front, by the
-// front's own chance, so that fronts that hear nothing of a title's home do not all fill it.
+// home is where a title's token starts: the first holder of the front's zone in an order alike at every
+// front. Departure from one home for all: it spares crossings, and not all fronts fill one server.
 func (c *Controller) home(holders []*server, title uint64) *server {
-	var best, next *server
-	top, second := uint64(0), uint64(0)
+	best, top := (*server)(nil), uint64(0)
 	for _, v := range holders {
-		switch h := mix(mix(title) ^ uint64(v.ID)); {
-		case best == nil || h > top:
-			best, next, top, second = v, best, h, top
-		case next == nil || h > second:
-			next, second = v, h
+		if h := c.turn(v, title); best == nil || h > top {
+			best, top = v, h
 		}
 	}
-	if next != nil && mix(title^c.salt)&1 == 1 {
-		return next
-	}
 	return best
 }
 
+// turn orders the holders of a title by rendezvous hashing, those of the front's zone first.
+func (c *Controller) turn(v *server, title uint64) uint64 {
+	h := mix(mix(title)^uint64(v.ID)) >> 1
+	if v.Zone == c.cfg.Zone {
+		h |= 1 << 63
+	}
+	return h
+}
+
 func mix(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
@@ -530,6 +535,18 @@
 	return s.class.Value * c.cfg.RungWorth[rung]
 }
 
+// leastRung is the rung that earns the most for a kB. A session under it uses room that another would earn more
+// with, so none is set up there: playing sessions would be lowered to the floor with it, and all would earn less.
+func (c *Controller) leastRung(s *session) int {
+	best := s.class.Floor
+	for r := best + 1; r <= s.top; r++ {
+		if c.worth(s, r)*c.cfg.RateKB[best] > c.worth(s, best)*c.cfg.RateKB[r] {
+			best = r
+		}
+	}
+	return best
+}
+
 // bestRung is the rung with the most worth left after its rate is paid for at the price.
 func (c *Controller) bestRung(s *session, price float64) int {
 	best, most := s.class.Floor, math.Inf(-1)
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -95,7 +95,7 @@
 	_, rationed := t.kv["safety.repeat_ratio"]
 	_, least := t.kv["safety.min_extra"]
 	c := headmill.Config{
-		Me: t.int("me"), Fronts: t.int("replicas_of_me"),
+		Me: t.int("me"), Fronts: t.int("replicas_of_me"), Zone: t.int("zone"),
 		RateKB: t.nums(fam + "level_kb"), RungWorth: t.nums(fam + "ladder_worth"),
 		Cells: t.int(fam + "cells"), Racks: t.int(fam + "racks"),
 		LinkUnitKB: t.num(fam + "link_unit_kb"), AllLinksKB: t.num(fam + "all_links_kb"),
