--- a/controller.go
+++ b/controller.go
@@ -25,12 +25,6 @@
 	payback      = 2.0     // a rung is raised only for this many times the price of the change
 	lifeGuessS   = 15.0    // s a session of unknown length is taken to go on
 	packed       = 0.9     // part of a server's streams in use from which room is for those that play
-	raiseUpTo    = 0.75    // the same for an uplink, which averages over more sessions
-	alikeMs      = 1500.0  // ms within which two servers short alike point to their uplink
-	alikeShare   = 0.04    // difference of such shares
-	shortAt      = 1.1     // load from a share above which an uplink is learned from it: less is often chance
-	hungAt       = 3.0     // load from a share above which a server stands still
-	uplinkBack   = 1.01    // growth a tick of a learned uplink back to the mean: 4% a second
 	settleMs     = 4000.0  // ms for which a changed rung is not raised again, against flapping
 	reportAgeMs  = 400.0   // ms that a load report is taken to be old
 	reportPart   = 0.5     // weight of a load report against the estimate: reports are noisy
@@ -44,6 +38,7 @@
 	streamFadeMs = 15000.0 // ms in which told streams of others fade by two thirds: sessions end unseen
 	farLoad      = 0.1     // load that a near holder may have over a far one: crossing zones has a price
 	guessLoad    = 0.5     // load of a fleet of which nothing has been heard
+	guessWeight  = 2.0     // heard servers that this guess is worth: one full one must not shut a fresh front
 	logEveryMs   = 2000.0  // ms between log lines about one server
 	tickTimer    = 1
 )
@@ -114,11 +109,8 @@
 }
 
 type rack struct {
-	up             gauge
-	servers        []*server
-	told           bool    // its load is told, not inferred
-	shortBy        *server // the last of its servers to fall short, when, and to what share
-	shortAt, share float64
+	up      gauge
+	servers []*server
 }
 
 // session is one request from arrival to end.
@@ -160,6 +152,7 @@
 	taken, extras []float64          // times of requests and of further attempts within the look-back
 	ticking       bool
 	stale         float64    // ms after which a measurement is old
+	highest       float64    // price of a kB/s above any worth
 	scratch       []*server  // of holders
 	pool          []*session // of price and lower
 }
@@ -172,6 +165,9 @@
 	c := &Controller{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x6865616d)), servers: map[ServerID]*server{},
 		sessions: map[SessionID]*session{}, seats: map[seatKey]int{}, tokens: map[uint64]*server{},
 		cells: make([][]*server, cfg.Cells), stale: cfg.TellMs + cfg.ToldLateMs + spareMs}
+	for _, k := range cfg.Classes {
+		c.highest = math.Max(c.highest, 2*k.Value*cfg.RungWorth[len(cfg.RungWorth)-1]/(cfg.RateKB[0]*k.Scale))
+	}
 	for range cfg.Racks {
 		c.racks = append(c.racks, &rack{up: gauge{cap: math.Max(cfg.UplinkKB, 1)}})
 	}
@@ -274,18 +270,16 @@
 	return math.Inf(1)
 }
 
-// average is the mean link load of the servers that have been heard: unheard ones count as that.
+// average is the mean link load of the servers that have been heard, drawn to guessLoad while these are few:
+// unheard ones count as that.
 func (c *Controller) average() float64 {
-	sum, n := 0.0, 0.0
+	sum, n := guessLoad*guessWeight, guessWeight
 	for _, s := range c.order {
 		if s.link.known && !s.off {
 			sum, n = sum+s.link.load(c.now, c.stale, 0), n+1
 		}
 	}
-	if n == 0 {
-		return guessLoad
-	}
-	return math.Min(sum/n, staleTo) // a fresh front that hears of full ones stays open
+	return sum / n
 }
 
 // seen tells whether a server's load has been heard lately.
@@ -303,16 +297,16 @@
 	if r.up.known {
 		return r.up.load(c.now, c.stale, 0)
 	}
-	asked, heard := 0.0, 0.0
+	asked, most := 0.0, staleTo // old figures and guesses alone never shut a rack
 	for _, s := range r.servers {
 		if !s.off {
-			kb := c.linkLoad(s) * s.link.cap
-			if asked += kb; c.seen(s) {
-				heard += kb
-			}
+			asked += c.linkLoad(s) * s.link.cap
+		}
+		if c.seen(s) {
+			most = math.Inf(1)
 		}
 	}
-	return r.up.load(c.now, c.stale, math.Min(asked/r.up.cap, math.Max(staleTo, heard/r.up.cap)))
+	return r.up.load(c.now, c.stale, math.Min(asked/r.up.cap, most))
 }
 
 func (c *Controller) load(s *server) float64 { return math.Max(c.linkLoad(s), c.rackLoad(s.rack)) }
@@ -344,7 +338,6 @@
 		s.link.tell(at, r.Link+(c.linkLoad(s)-r.Link)*(1-reportPart))
 	}
 	if r.Uplink >= 0 {
-		s.rack.told = true
 		s.rack.up.tell(at, r.Uplink+(c.rackLoad(s.rack)-r.Uplink)*(1-reportPart))
 	}
 	if r.Streams >= 0 {
@@ -535,8 +528,8 @@
 	return s.class.Value * c.cfg.RungWorth[rung]
 }
 
-// leastRung is the rung that earns the most for a kB. A session under it uses room that another would earn more
-// with, so none is set up there: playing sessions would be lowered to the floor with it, and all would earn less.
+// leastRung is the rung that earns the most for a kB. A session under it uses room with which another would
+// earn more, so none is set up there: those that play would go to the floor for it, and all earn less.
 func (c *Controller) leastRung(s *session) int {
 	best := s.class.Floor
 	for r := best + 1; r <= s.top; r++ {
@@ -585,11 +578,7 @@
 		room += c.effective(v) * mark
 	}
 	budget := room * own / asked
-	low, high := 0.0, 0.0
-	for i := range c.cfg.Classes {
-		k := &c.cfg.Classes[i]
-		high = math.Max(high, 2*k.Value*c.cfg.RungWorth[len(c.cfg.RungWorth)-1]/(c.cfg.RateKB[0]*k.Scale))
-	}
+	low, high := 0.0, c.highest
 	for range 20 {
 		p := (low + high) / 2
 		sum := 0.0
@@ -806,28 +795,16 @@
 	case NoteLink:
 		v.link.tell(at, ev.Value)
 	case NoteUplink:
-		v.rack.told = true
 		v.rack.up.tell(at, ev.Value)
 	case NoteShare:
 		c.short(v, ev.Value)
 	}
 }
 
-// short takes a share delivered as a measurement of the link, or of an uplink that is never told where two
-// of its servers fall short alike, more than their links explain: it then learns what the uplink carries.
-// That guards against lowering and raising by turns behind a weak uplink.
+// short takes a share delivered as a measurement of the link, unless the estimates explain it already.
 func (c *Controller) short(v *server, share float64) {
-	if share >= 0.98 || share <= 0 {
-		return
-	}
-	x, at, r := 1/share, c.now-c.cfg.ToldLateMs, v.rack
-	alike := r.shortBy != v && c.now-r.shortAt < alikeMs && math.Abs(r.share-share) < alikeShare
-	r.shortBy, r.shortAt, r.share = v, c.now, share
-	if alike && !r.told && x > shortAt && x < hungAt && c.linkLoad(v) < x-0.03 {
-		asked := c.rackLoad(r) * r.up.cap
-		r.up.cap, r.up.at = math.Min(r.up.cap, math.Max(asked/x, c.cfg.UplinkKB/hungAt)), at
-	} else if c.load(v) < x-0.03 {
-		v.link.tell(at, x)
+	if share < 0.98 && share > 0 && c.load(v) < 1/share-0.03 {
+		v.link.tell(c.now-c.cfg.ToldLateMs, 1/share)
 	}
 }
 
@@ -861,7 +838,6 @@
 
 func (c *Controller) tick() {
 	for _, r := range c.racks {
-		r.up.cap = math.Max(r.up.cap, math.Min(r.up.cap*uplinkBack, c.cfg.UplinkKB))
 		c.relieve(&r.up, c.rackLoad(r), r.servers)
 		for i, v := range r.servers {
 			c.relieve(&v.link, c.linkLoad(v), r.servers[i:i+1])
@@ -893,12 +869,11 @@
 			continue
 		}
 		v.raised = c.now
-		limit, limitUp := raiseTo, raiseUpTo
+		limit := raiseTo
 		if c.streams(v) >= packed*c.places(v) {
-			limit, limitUp = mark, mark // no stream is left for newcomers to use the room
+			limit = mark // no stream is left for newcomers to use the room
 		}
-		link, up := c.linkLoad(v), c.rackLoad(v.rack)
-		room := v.link.own * math.Min(limit/math.Max(link, 0.01)-1, limitUp/math.Max(up, 0.01)-1)
+		room := v.link.own * (limit/math.Max(c.load(v), 0.01) - 1)
 		for _, s := range v.sessions {
 			s.plan = s.rung
 		}
