--- a/controller.go
+++ b/controller.go
@@ -19,7 +19,7 @@
 const (
 	mark         = 0.90    // share of a link or uplink that set-ups may fill: rates spread
 	reliefAt     = 1.0     // load above which own sessions are lowered: shares under 0.98 cost worth
-	reliefTo     = 0.95    // load that a relief aims at: no more is lowered than what falls short
+	reliefTo     = 0.97    // load that a relief aims at: no more is lowered than what falls short
 	raiseTo      = 0.80    // link load that raising may reach: a change costs, so room is left for set-ups
 	tickMs       = 250.0   // ms between looks at the fleet: well under the second after which viewers notice
 	payback      = 2.0     // a rung is raised only for this many times the price of the change
