--- a/controller.go
+++ b/controller.go
@@ -55,6 +55,7 @@
 	told, at float64 // asked over given, and when that was measured
 	known    bool
 	eased    float64 // time of the last relief; none follows before a later measurement
+	urge     float64 // doubles with each relief in a row: some fronts have nothing to lower
 	log      []change
 }
 
@@ -848,10 +849,14 @@
 
 // relieve lowers own sessions on a link or uplink that is asked for too much, by this front's part of it.
 func (c *Controller) relieve(g *gauge, load float64, on []*server) {
-	if load <= reliefAt || g.at == 0 || g.eased > g.at {
+	if load <= reliefAt {
+		g.urge = 1
+	}
+	if load <= reliefAt || g.at == 0 || g.eased > g.at || g.own <= 0 {
 		return
 	}
-	part := g.own * (load - reliefTo) / load
+	part := g.own * math.Min(g.urge*(load-reliefTo)/load, 1)
+	g.urge *= 2
 	c.pool = c.pool[:0]
 	for _, v := range on {
 		c.pool = append(c.pool, v.sessions...)
