--- a/controller.go
+++ b/controller.go
@@ -38,7 +38,7 @@
 	streamFadeMs = 15000.0 // ms in which told streams of others fade by two thirds: sessions end unseen
 	farLoad      = 0.1     // load that a near holder may have over a far one: crossing zones has a price
 	guessLoad    = 0.5     // load of a fleet of which nothing has been heard
-	guessWeight  = 2.0     // heard servers that this guess is worth: one full one must not shut a fresh front
+	meanPart     = 0.1     // weight of a measurement in the mean: one full server must not shut a fresh front
 	logEveryMs   = 2000.0  // ms between log lines about one server
 	tickTimer    = 1
 )
@@ -55,7 +55,6 @@
 	told, at float64 // asked over given, and when that was measured
 	known    bool
 	eased    float64 // time of the last relief; none follows before a later measurement
-	urge     float64 // doubles with each relief in a row: some fronts have nothing to lower
 	log      []change
 }
 
@@ -153,6 +152,7 @@
 	taken, extras []float64          // times of requests and of further attempts within the look-back
 	ticking       bool
 	stale         float64    // ms after which a measurement is old
+	mean          float64    // link load of the servers lately heard
 	highest       float64    // price of a kB/s above any worth
 	scratch       []*server  // of holders
 	pool          []*session // of price and lower
@@ -165,7 +165,7 @@
 	}
 	c := &Controller{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x6865616d)), servers: map[ServerID]*server{},
 		sessions: map[SessionID]*session{}, seats: map[seatKey]int{}, tokens: map[uint64]*server{},
-		cells: make([][]*server, cfg.Cells), stale: cfg.TellMs + cfg.ToldLateMs + spareMs}
+		mean: guessLoad, cells: make([][]*server, cfg.Cells), stale: cfg.TellMs + cfg.ToldLateMs + spareMs}
 	for _, k := range cfg.Classes {
 		c.highest = math.Max(c.highest, 2*k.Value*cfg.RungWorth[len(cfg.RungWorth)-1]/(cfg.RateKB[0]*k.Scale))
 	}
@@ -271,16 +271,12 @@
 	return math.Inf(1)
 }
 
-// average is the mean link load of the servers that have been heard, drawn to guessLoad while these are few:
-// unheard ones count as that.
-func (c *Controller) average() float64 {
-	sum, n := guessLoad*guessWeight, guessWeight
-	for _, s := range c.order {
-		if s.link.known && !s.off {
-			sum, n = sum+s.link.load(c.now, c.stale, 0), n+1
-		}
+// tellLink books a measured link load; unheard servers count as the running mean of what was heard.
+func (c *Controller) tellLink(v *server, at, load float64) {
+	v.link.tell(at, load)
+	if v.link.known {
+		c.mean += (math.Min(load, 2) - c.mean) * meanPart
 	}
-	return sum / n
 }
 
 // seen tells whether a server's load has been heard lately.
@@ -288,10 +284,7 @@
 
 // linkLoad and rackLoad are the one estimate of a link and of an uplink.
 func (c *Controller) linkLoad(s *server) float64 {
-	if s.link.known {
-		return s.link.load(c.now, c.stale, 0)
-	}
-	return s.link.load(c.now, c.stale, c.average())
+	return s.link.load(c.now, c.stale, c.mean)
 }
 
 func (c *Controller) rackLoad(r *rack) float64 {
@@ -336,7 +329,7 @@
 	}
 	at := c.now - reportAgeMs
 	if r.Link >= 0 {
-		s.link.tell(at, r.Link+(c.linkLoad(s)-r.Link)*(1-reportPart))
+		c.tellLink(s, at, r.Link+(c.linkLoad(s)-r.Link)*(1-reportPart))
 	}
 	if r.Uplink >= 0 {
 		s.rack.up.tell(at, r.Uplink+(c.rackLoad(s.rack)-r.Uplink)*(1-reportPart))
@@ -794,7 +787,7 @@
 			s.server.rack.up.own += kb
 		}
 	case NoteLink:
-		v.link.tell(at, ev.Value)
+		c.tellLink(v, at, ev.Value)
 	case NoteUplink:
 		v.rack.up.tell(at, ev.Value)
 	case NoteShare:
@@ -805,7 +798,7 @@
 // short takes a share delivered as a measurement of the link, unless the estimates explain it already.
 func (c *Controller) short(v *server, share float64) {
 	if share < 0.98 && share > 0 && c.load(v) < 1/share-0.03 {
-		v.link.tell(c.now-c.cfg.ToldLateMs, 1/share)
+		c.tellLink(v, c.now-c.cfg.ToldLateMs, 1/share)
 	}
 }
 
@@ -849,14 +842,10 @@
 
 // relieve lowers own sessions on a link or uplink that is asked for too much, by this front's part of it.
 func (c *Controller) relieve(g *gauge, load float64, on []*server) {
-	if load <= reliefAt {
-		g.urge = 1
-	}
-	if load <= reliefAt || g.at == 0 || g.eased > g.at || g.own <= 0 {
+	if load <= reliefAt || g.at == 0 || g.eased > g.at {
 		return
 	}
-	part := g.own * math.Min(g.urge*(load-reliefTo)/load, 1)
-	g.urge *= 2
+	part := g.own * (load - reliefTo) / load
 	c.pool = c.pool[:0]
 	for _, v := range on {
 		c.pool = append(c.pool, v.sessions...)
