--- a/controller.go
+++ b/controller.go
@@ -38,7 +38,8 @@
 	streamFadeMs = 15000.0 // ms in which told streams of others fade by two thirds: sessions end unseen
 	farLoad      = 0.1     // load that a near holder may have over a far one: crossing zones has a price
 	guessLoad    = 0.5     // load of a fleet of which nothing has been heard
-	meanPart     = 0.1     // weight of a measurement in the mean: one full server must not shut a fresh front
+	guessWeight  = 2.0     // measurements that the guess is worth: one full server must not shut a fresh front
+	meanOver     = 8.0     // measurements that the mean goes over: a front of few sessions hears some a second
 	logEveryMs   = 2000.0  // ms between log lines about one server
 	tickTimer    = 1
 )
@@ -152,7 +153,7 @@
 	taken, extras []float64          // times of requests and of further attempts within the look-back
 	ticking       bool
 	stale         float64    // ms after which a measurement is old
-	mean          float64    // link load of the servers lately heard
+	mean, heard   float64    // link load of the servers lately heard; measurements in it
 	highest       float64    // price of a kB/s above any worth
 	scratch       []*server  // of holders
 	pool          []*session // of price and lower
@@ -275,7 +276,8 @@
 func (c *Controller) tellLink(v *server, at, load float64) {
 	v.link.tell(at, load)
 	if v.link.known {
-		c.mean += (math.Min(load, 2) - c.mean) * meanPart
+		c.heard = math.Min(c.heard+1, meanOver)
+		c.mean += (math.Min(load, 2) - c.mean) / (guessWeight + c.heard)
 	}
 }
 
