--- a/controller.go
+++ b/controller.go
@@ -38,8 +38,7 @@
 	streamFadeMs = 15000.0 // ms in which told streams of others fade by two thirds: sessions end unseen
 	farLoad      = 0.1     // load that a near holder may have over a far one: crossing zones has a price
 	guessLoad    = 0.5     // load of a fleet of which nothing has been heard
-	guessWeight  = 2.0     // measurements that the guess is worth: one full server must not shut a fresh front
-	meanOver     = 8.0     // measurements that the mean goes over: a front of few sessions hears some a second
+	meanPart     = 0.1     // weight of a measurement in the mean: one full server must not shut a fresh front
 	logEveryMs   = 2000.0  // ms between log lines about one server
 	tickTimer    = 1
 )
@@ -153,7 +152,7 @@
 	taken, extras []float64          // times of requests and of further attempts within the look-back
 	ticking       bool
 	stale         float64    // ms after which a measurement is old
-	mean, heard   float64    // link load of the servers lately heard; measurements in it
+	mean          float64    // link load of the servers lately heard
 	highest       float64    // price of a kB/s above any worth
 	scratch       []*server  // of holders
 	pool          []*session // of price and lower
@@ -276,8 +275,7 @@
 func (c *Controller) tellLink(v *server, at, load float64) {
 	v.link.tell(at, load)
 	if v.link.known {
-		c.heard = math.Min(c.heard+1, meanOver)
-		c.mean += (math.Min(load, 2) - c.mean) / (guessWeight + c.heard)
+		c.mean += (math.Min(load, 2) - c.mean) * meanPart
 	}
 }
 
@@ -865,18 +863,18 @@
 			continue
 		}
 		v.raised = c.now
-		limit := raiseTo
+		room, spare := v.link.own*(mark/math.Max(c.load(v), 0.01)-1), v.link.own*(mark-raiseTo)
 		if c.streams(v) >= packed*c.places(v) {
-			limit = mark // no stream is left for newcomers to use the room
+			spare = 0 // no stream is left for newcomers to use the room
 		}
-		room := v.link.own * (limit/math.Max(c.load(v), 0.01) - 1)
 		for _, s := range v.sessions {
 			s.plan = s.rung
 		}
 		for room > 0 {
 			best, most, used := (*session)(nil), 0.0, 0.0
 			for _, s := range v.sessions {
-				if !s.playing || s.plan >= s.top || c.now-s.changed < settleMs {
+				if !s.playing || s.plan >= s.top || c.now-s.changed < settleMs ||
+					room <= spare && s.plan >= c.leastRung(s) { // what earns most for a kB may go to the mark
 					continue
 				}
 				kb := c.rate(s.class, s.plan+1) - c.rate(s.class, s.plan)
