--- a/controller.go
+++ b/controller.go
@@ -19,6 +19,7 @@
 const (
 	mark         = 0.90    // share of a link or uplink that set-ups may fill: rates spread
 	reliefAt     = 1.0     // load above which own sessions are lowered: shares under 0.98 cost worth
+	worseAt      = 1.06    // load above which rungs that earn most for a kB go down too: viewers leave next
 	reliefTo     = 0.97    // load that a relief aims at: no more is lowered than what falls short
 	raiseTo      = 0.80    // link load that raising may reach: a change costs, so room is left for set-ups
 	tickMs       = 250.0   // ms between looks at the fleet: well under the second after which viewers notice
@@ -850,6 +851,9 @@
 	for _, v := range on {
 		c.pool = append(c.pool, v.sessions...)
 	}
+	if load < worseAt {
+		c.pool = slices.DeleteFunc(c.pool, func(s *session) bool { return s.rung <= c.leastRung(s) })
+	}
 	c.lower(part, 0, nil, math.Inf(1), false)
 	g.eased = c.now
 }
@@ -863,18 +867,18 @@
 			continue
 		}
 		v.raised = c.now
-		room, spare := v.link.own*(mark/math.Max(c.load(v), 0.01)-1), v.link.own*(mark-raiseTo)
+		limit := raiseTo
 		if c.streams(v) >= packed*c.places(v) {
-			spare = 0 // no stream is left for newcomers to use the room
+			limit = mark // no stream is left for newcomers to use the room
 		}
+		room := v.link.own * (limit/math.Max(c.load(v), 0.01) - 1)
 		for _, s := range v.sessions {
 			s.plan = s.rung
 		}
 		for room > 0 {
 			best, most, used := (*session)(nil), 0.0, 0.0
 			for _, s := range v.sessions {
-				if !s.playing || s.plan >= s.top || c.now-s.changed < settleMs ||
-					room <= spare && s.plan >= c.leastRung(s) { // what earns most for a kB may go to the mark
+				if !s.playing || s.plan >= s.top || c.now-s.changed < settleMs {
 					continue
 				}
 				kb := c.rate(s.class, s.plan+1) - c.rate(s.class, s.plan)
