--- a/controller.go
+++ b/controller.go
@@ -867,19 +867,23 @@
 			continue
 		}
 		v.raised = c.now
-		limit := raiseTo
+		load, kept := math.Max(c.load(v), 0.01), mark-raiseTo
+		if !v.rack.up.known {
+			load, kept = load+kept, 0 // an uplink that is only inferred may be short already
+		}
 		if c.streams(v) >= packed*c.places(v) {
-			limit = mark // no stream is left for newcomers to use the room
+			kept = 0 // no stream is left for newcomers to use the room
 		}
-		room := v.link.own * (limit/math.Max(c.load(v), 0.01) - 1)
+		room := v.link.own * (mark/load - 1)
 		for _, s := range v.sessions {
 			s.plan = s.rung
 		}
 		for room > 0 {
 			best, most, used := (*session)(nil), 0.0, 0.0
 			for _, s := range v.sessions {
-				if !s.playing || s.plan >= s.top || c.now-s.changed < settleMs {
-					continue
+				if !s.playing || s.plan >= s.top || c.now-s.changed < settleMs ||
+					room <= v.link.own*kept/load && s.plan >= c.leastRung(s) {
+					continue // room is kept for newcomers, but for what earns most for a kB
 				}
 				kb := c.rate(s.class, s.plan+1) - c.rate(s.class, s.plan)
 				if w := c.gain(s, s.plan) / kb; w > most {
