--- a/controller.go
+++ b/controller.go
@@ -330,16 +330,24 @@
 	}
 	at := c.now - reportAgeMs
 	if r.Link >= 0 {
-		c.tellLink(s, at, r.Link+(c.linkLoad(s)-r.Link)*(1-reportPart))
+		c.tellLink(s, at, r.Link+(c.linkLoad(s)-r.Link)*guessPart(c.seen(s)))
 	}
 	if r.Uplink >= 0 {
-		s.rack.up.tell(at, r.Uplink+(c.rackLoad(s.rack)-r.Uplink)*(1-reportPart))
+		s.rack.up.tell(at, r.Uplink+(c.rackLoad(s.rack)-r.Uplink)*guessPart(s.rack.up.known))
 	}
 	if r.Streams >= 0 {
 		s.others, s.counted = math.Max(0, r.Streams-float64(len(s.sessions))), c.now
 	}
 }
 
+// guessPart is what an estimate keeps against a report: nothing where it rests on no measurement.
+func guessPart(measured bool) float64 {
+	if measured {
+		return 1 - reportPart
+	}
+	return 0
+}
+
 // ---- sessions on servers ----
 
 func (c *Controller) rate(class *Class, rung int) float64 { return c.cfg.RateKB[rung] * class.Scale }
