--- a/controller.go
+++ b/controller.go
@@ -9,6 +9,7 @@
 // EvPlaying, EvNote and EvSettled feed the server view; tick lowers and raises rungs of playing sessions.
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -25,7 +26,10 @@
 	tickMs       = 250.0   // ms between looks at the fleet: well under the second after which viewers notice
 	payback      = 2.0     // a rung is raised only for this many times the price of the change
 	lifeGuessS   = 15.0    // s a session of unknown length is taken to go on
-	packed       = 0.9     // part of a server's streams in use from which room is for those that play
+	alikeMs      = 1500.0  // ms within which two servers short alike point to their uplink
+	alikeShare   = 0.04    // difference of shares of two servers short alike
+	hungAt       = 3.0     // load from a share above which a server stands still
+	uplinkBack   = 1.01    // growth a tick of a learned uplink back to the mean: 4% a second
 	settleMs     = 4000.0  // ms for which a changed rung is not raised again, against flapping
 	reportAgeMs  = 400.0   // ms that a load report is taken to be old
 	reportPart   = 0.5     // weight of a load report against the estimate: reports are noisy
@@ -110,8 +114,10 @@
 }
 
 type rack struct {
-	up      gauge
-	servers []*server
+	up             gauge
+	servers        []*server
+	shortBy        *server // the last of its servers to fall short, when, and to what share
+	shortAt, share float64
 }
 
 // session is one request from arrival to end.
@@ -463,8 +469,10 @@
 	least := c.leastRung(s)
 	want := max(c.bestRung(s, c.price(holders, s)), least)
 	token := c.tokens[s.title]
-	if token == nil {
-		token = c.home(holders, s.title)
+	if token == nil && len(holders) > 0 {
+		token = slices.MaxFunc(holders, func(a, b *server) int {
+			return cmp.Compare(c.turn(a, s.title), c.turn(b, s.title))
+		})
 	}
 	for rung := want; rung >= least && rung <= s.top; rung-- { // none for a viewer under the floor
 		kb := c.rate(s.class, rung)
@@ -499,19 +507,8 @@
 	return heir
 }
 
-// home is where a title's token starts: the first holder of the front's zone in an order alike at every
-// front. Departure from one home for all: it spares crossings, and not all fronts fill one server.
-func (c *Controller) home(holders []*server, title uint64) *server {
-	best, top := (*server)(nil), uint64(0)
-	for _, v := range holders {
-		if h := c.turn(v, title); best == nil || h > top {
-			best, top = v, h
-		}
-	}
-	return best
-}
-
-// turn orders the holders of a title by rendezvous hashing, those of the front's zone first.
+// turn orders the holders of a title by rendezvous hashing, alike at every front; those of its zone first.
+// Departure from one home for all: it spares crossings, and not all fronts fill one server.
 func (c *Controller) turn(v *server, title uint64) uint64 {
 	h := mix(mix(title)^uint64(v.ID)) >> 1
 	if v.Zone == c.cfg.Zone {
@@ -554,15 +551,9 @@
 	return best
 }
 
-// effective is what a server can carry once its rack's uplink is shared out among the rack's links.
+// effective is what a server can carry once the rack's uplink is shared out among its links.
 func (c *Controller) effective(v *server) float64 {
-	links := 0.0
-	for _, o := range v.rack.servers {
-		if !o.off {
-			links += o.link.cap
-		}
-	}
-	return v.link.cap * math.Min(1, v.rack.up.cap/math.Max(links, 1))
+	return v.link.cap * math.Min(1, v.rack.up.cap*float64(c.cfg.Racks)/math.Max(c.cfg.AllLinksKB, 1))
 }
 
 // price is the worth of a kB/s at which all sessions on the holders, the newcomer included, would just fill
@@ -804,10 +795,20 @@
 	}
 }
 
-// short takes a share delivered as a measurement of the link, unless the estimates explain it already.
+// short takes a share delivered as a measurement of the link, or of an uplink that is never told where two
+// of its servers fall short alike, more than their links explain: it then learns what the uplink carries.
 func (c *Controller) short(v *server, share float64) {
-	if share < 0.98 && share > 0 && c.load(v) < 1/share-0.03 {
-		c.tellLink(v, c.now-c.cfg.ToldLateMs, 1/share)
+	if share >= 0.98 || share <= 0 {
+		return
+	}
+	x, at, r := 1/share, c.now-c.cfg.ToldLateMs, v.rack
+	alike := r.shortBy != v && c.now-r.shortAt < alikeMs && math.Abs(r.share-share) < alikeShare
+	r.shortBy, r.shortAt, r.share = v, c.now, share
+	if alike && !r.up.known && x < hungAt && c.linkLoad(v) < x-0.03 {
+		asked := c.rackLoad(r) * r.up.cap
+		r.up.cap, r.up.at = math.Min(r.up.cap, math.Max(asked/x, c.cfg.UplinkKB/hungAt)), at
+	} else if c.load(v) < x-0.03 {
+		c.tellLink(v, at, x)
 	}
 }
 
@@ -841,6 +842,7 @@
 
 func (c *Controller) tick() {
 	for _, r := range c.racks {
+		r.up.cap = math.Max(r.up.cap, math.Min(r.up.cap*uplinkBack, c.cfg.UplinkKB))
 		c.relieve(&r.up, c.rackLoad(r), r.servers)
 		for i, v := range r.servers {
 			c.relieve(&v.link, c.linkLoad(v), r.servers[i:i+1])
@@ -876,11 +878,8 @@
 		}
 		v.raised = c.now
 		load, kept := math.Max(c.load(v), 0.01), mark-raiseTo
-		if !v.rack.up.known {
-			load, kept = load+kept, 0 // an uplink that is only inferred may be short already
-		}
-		if c.streams(v) >= packed*c.places(v) {
-			kept = 0 // no stream is left for newcomers to use the room
+		if !v.rack.up.known { // an uplink that is only inferred may be short already
+			load, kept = load+kept, 0
 		}
 		room := v.link.own * (mark/load - 1)
 		for _, s := range v.sessions {
--- a/controller_test.go
+++ b/controller_test.go
@@ -631,6 +631,25 @@
 	}
 }
 
+// Two servers short alike behind an uplink that nobody tells point to the uplink, not to their links.
+func TestUntoldUplinkIsLearned(t *testing.T) {
+	b := start(t, testConfig())
+	b.tell(0.5)
+	b.now += 600
+	for range 2 {
+		for _, i := range []int{0, 2, 4} { // the servers of one rack
+			b.step(Event{Kind: EvNote, Server: fleet(6)[i].ID, Note: NoteShare, Value: 0.7})
+		}
+	}
+	r := b.c.servers[fleet(1)[0].ID].rack
+	if load := b.c.rackLoad(r); load < 1.3 || r.up.cap > 0.6*3000 {
+		t.Fatalf("uplink load %.2f and %.0f kB/s; shares of 0.7 at links of 0.5", load, r.up.cap)
+	}
+	if l := b.c.linkLoad(b.c.servers[fleet(6)[4].ID]); l > 1 {
+		t.Fatalf("the link is booked with %.2f for a shortage of the uplink", l)
+	}
+}
+
 // Without told places or weights all links are taken to be alike.
 func TestLinksWithoutPlacesOrWeights(t *testing.T) {
 	cfg := testConfig()
