--- a/controller.go
+++ b/controller.go
@@ -30,6 +30,7 @@
 	alikeShare   = 0.04    // difference of shares of two servers short alike
 	hungAt       = 3.0     // load from a share above which a server stands still
 	uplinkBack   = 1.01    // growth a tick of a learned uplink back to the mean: 4% a second
+	wholeStep    = 0.9     // part of a further step that must fit; the first is taken by chance
 	settleMs     = 4000.0  // ms for which a changed rung is not raised again, against flapping
 	reportAgeMs  = 400.0   // ms that a load report is taken to be old
 	reportPart   = 0.5     // weight of a load report against the estimate: reports are noisy
@@ -523,7 +524,6 @@
 	return x ^ x>>31
 }
 
-// worth of a second of a session at a rung.
 func (c *Controller) worth(s *session, rung int) float64 {
 	return s.class.Value * c.cfg.RungWorth[rung]
 }
@@ -588,15 +588,19 @@
 	return high
 }
 
-// gain is the worth of a second of a step up from a rung.
+// gain is the worth of a second of a step up from a rung, step its rate.
 func (c *Controller) gain(s *session, rung int) float64 { return c.worth(s, rung+1) - c.worth(s, rung) }
 
+func (c *Controller) step(s *session, rung int) float64 {
+	return c.rate(s.class, rung+1) - c.rate(s.class, rung)
+}
+
 // loss is the worth given up for each kB/s freed when a session goes down one rung.
 func (c *Controller) loss(s *session) float64 {
 	if s.plan <= s.class.Floor {
 		return math.Inf(1)
 	}
-	return c.gain(s, s.plan-1) / (c.rate(s.class, s.plan) - c.rate(s.class, s.plan-1))
+	return c.gain(s, s.plan-1) / c.step(s, s.plan-1)
 }
 
 // makeRoom lowers own sessions that earn less for their last kB than the newcomer would, at the first
@@ -624,13 +628,13 @@
 	return nil
 }
 
-// lower takes own sessions of the pool down, the least loss for a kB first, until link and up are freed; each
-// changes once. On server at only its own sessions free the link. Under all it is everything or nothing,
-// else the nearest step, so that all fronts together free an excess about once.
+// lower takes own sessions of the pool down, the least loss for a kB first, until link and up are freed, each
+// in one change. On server at only its own sessions free the link. Under all it is everything or nothing.
 func (c *Controller) lower(link, up float64, at *server, dearest float64, all bool) bool {
 	for _, o := range c.pool {
 		o.plan = o.rung
 	}
+	fit := c.rng.Float64()
 	for link > 0 || up > 0 {
 		best, least := (*session)(nil), dearest
 		for _, o := range c.pool {
@@ -641,14 +645,12 @@
 		if best == nil && all {
 			return false
 		}
-		if best == nil {
-			break
-		}
-		kb := c.rate(best.class, best.plan) - c.rate(best.class, best.plan-1)
-		if !all && math.Max(link, up) < kb*c.rng.Float64() {
+		if best == nil || !all && math.Max(link, up) < fit*c.step(best, best.plan-1) {
 			break
 		}
+		kb := c.step(best, best.plan-1)
 		best.plan--
+		fit = wholeStep
 		up -= kb
 		if at == nil || best.server == at {
 			link -= kb
@@ -869,8 +871,8 @@
 }
 
 // raise lifts playing sessions where room lasts, the most worth for a kB first, in one change each. On each
-// new measurement a front takes the part of the room that its sessions have of what is asked; a last step
-// that does not fit whole is taken by chance, so that all fronts together fill about the room.
+// new measurement a front takes the part of the room that its sessions have of what is asked; a first step
+// that does not fit whole is taken by chance, so that many fronts of few sessions together fill the room.
 func (c *Controller) raise() {
 	for _, v := range c.order {
 		if len(v.sessions) == 0 || v.off || c.now < v.until || !c.seen(v) || v.raised >= v.link.at {
@@ -885,23 +887,24 @@
 		for _, s := range v.sessions {
 			s.plan = s.rung
 		}
+		fit := c.rng.Float64()
 		for room > 0 {
-			best, most, used := (*session)(nil), 0.0, 0.0
+			best, most := (*session)(nil), 0.0
 			for _, s := range v.sessions {
 				if !s.playing || s.plan >= s.top || c.now-s.changed < settleMs ||
 					room <= v.link.own*kept/load && s.plan >= c.leastRung(s) {
 					continue // room is kept for newcomers, but for what earns most for a kB
 				}
-				kb := c.rate(s.class, s.plan+1) - c.rate(s.class, s.plan)
-				if w := c.gain(s, s.plan) / kb; w > most {
-					best, most, used = s, w, kb
+				if w := c.gain(s, s.plan) / c.step(s, s.plan); w > most {
+					best, most = s, w
 				}
 			}
-			if best == nil || room < used*c.rng.Float64() {
+			if best == nil || room < fit*c.step(best, best.plan) {
 				break
 			}
+			room -= c.step(best, best.plan)
 			best.plan++
-			room -= used
+			fit = wholeStep
 		}
 		for _, s := range v.sessions {
 			if c.pays(s, s.plan) {
