--- /dev/null
+++ b/size_test.go
@@ -0,0 +1,253 @@
+package headmill
+
+import "testing"
+
+// Tests of what many fronts do together, each knowing little.
+
+func bigFleet(n int) []Server {
+	var l []Server
+	for i := range n {
+		l = append(l, Server{ID: ServerID(1001 + 13*i), Cell: i, Weight: 1, Zone: i % 3})
+	}
+	return l
+}
+
+func bigConfig(fronts, servers int) Config {
+	cfg := testConfig()
+	cfg.Fronts, cfg.Cells, cfg.Racks = fronts, servers, servers/5
+	cfg.AllLinksKB, cfg.UplinkKB = float64(servers)*1000, 5000
+	return cfg
+}
+
+func front(t testing.TB, cfg Config, seed uint64, servers []Server) *Controller {
+	t.Helper()
+	c, err := New(cfg, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Step(1e6, []Event{{Kind: EvServers, Servers: servers}}, nil)
+	return c
+}
+
+// The wanted rung must not fall only because there are more fronts.
+func TestPriceDoesNotDependOnTheNumberOfFronts(t *testing.T) {
+	rungs := map[int]int{}
+	for _, fronts := range []int{3, 300} {
+		c := front(t, bigConfig(fronts, 30), 1, bigFleet(30))
+		for _, s := range bigFleet(3) {
+			c.Step(1e6, []Event{{Kind: EvNote, Server: s.ID, Note: NoteLink, Value: 0.1}}, nil)
+		}
+		_, rungs[fronts], _ = sent(c.Step(1e6, []Event{{Kind: EvRequest, Session: 1, Title: 5,
+			RemainingMs: 3000, Copies: 3, TopRung: 2}}, nil))
+	}
+	if rungs[3] != rungs[300] || rungs[300] != 2 {
+		t.Fatalf("rung %d with 3 fronts, %d with 300, want the top at both on an empty fleet", rungs[3], rungs[300])
+	}
+}
+
+// A title's token starts in the front's own zone, at the same holder for all fronts of the zone.
+func TestHomeOfEachZone(t *testing.T) {
+	for zone := range 3 {
+		homes := map[uint64]ServerID{}
+		for me := range 2 {
+			cfg := bigConfig(300, 30)
+			cfg.Me, cfg.Zone = me, zone
+			c := front(t, cfg, uint64(me), bigFleet(30))
+			for title := uint64(1); title < 20; title++ {
+				to, _, _ := sent(c.Step(1e6, []Event{{Kind: EvRequest, Session: SessionID(title), Title: title,
+					RemainingMs: 3000, Home: int(title), Copies: 6, TopRung: 0}}, nil))
+				if z := c.servers[to].Zone; z != zone {
+					t.Fatalf("front of zone %d starts title %d in zone %d", zone, title, z)
+				}
+				if me > 0 && homes[title] != to {
+					t.Fatalf("title %d starts at %d and %d in one zone", title, homes[title], to)
+				}
+				homes[title] = to
+			}
+		}
+	}
+}
+
+// A front that has heard many full servers takes the unheard ones to be full too.
+func TestUnheardServersCountAsTheMeanHeard(t *testing.T) {
+	c := front(t, bigConfig(300, 60), 1, bigFleet(60))
+	ask := Event{Kind: EvRequest, Session: 1, Title: 5, RemainingMs: 3000, Home: 50, Copies: 3, TopRung: 2}
+	for i, s := range bigFleet(40) {
+		c.Step(1e6+float64(i)*10, []Event{{Kind: EvNote, Server: s.ID, Note: NoteLink, Value: 1.1}}, nil)
+	}
+	if _, _, ok := sent(c.Step(1e6+400, []Event{ask}, nil)); ok {
+		t.Fatal("sent to an unheard server of a fleet that is full everywhere")
+	}
+}
+
+// together runs 100 fronts with one session each on one server at a told load and sums the change of rates.
+func together(t *testing.T, load float64, rung int) (kb float64) {
+	for me := range 100 {
+		cfg := bigConfig(100, 10)
+		cfg.Me = me
+		c := front(t, cfg, uint64(me), bigFleet(10))
+		id := bigFleet(1)[0].ID
+		c.Step(1e6, []Event{{Kind: EvExisting, Session: 1, Server: id, Title: 1, Copies: 3, TopRung: 2},
+			{Kind: EvNote, Session: 1, Server: id, Note: NoteRung, Value: float64(rung)}}, nil)
+		c.Step(1e6+6000, []Event{{Kind: EvNote, Session: 1, Server: id, Note: NoteLink, Value: load},
+			{Kind: EvNote, Session: 1, Server: id, Note: NoteUplink, Value: 0.5}}, nil)
+		for _, a := range c.Step(1e6+6250, []Event{{Kind: EvTimer, Timer: tickTimer}}, nil) {
+			if a.Kind == ActRung {
+				kb += cfg.RateKB[a.Rung] - cfg.RateKB[rung]
+			}
+		}
+	}
+	return kb
+}
+
+// All fronts together fill or free about what is told, whatever their number: neither nobody nor everybody.
+func TestManyFrontsRaiseAboutTheRoom(t *testing.T) {
+	asked := 100 * 50.0 // by all, told as a load of 0.6: a room of a third of it up to 0.80
+	if kb := together(t, 0.6, 0); kb < 0.15*asked || kb > 0.6*asked {
+		t.Fatalf("%v kB/s raised where about %v were free", kb, asked/3)
+	}
+}
+
+func TestManyFrontsLowerAboutTheExcess(t *testing.T) {
+	asked := 100 * 200.0
+	excess := asked * (1.2 - reliefTo) / 1.2
+	if kb := -together(t, 1.2, 2); kb < 0.6*excess || kb > 1.5*excess {
+		t.Fatalf("%v kB/s lowered where %v were too much", kb, excess)
+	}
+}
+
+// Where rung 1 earns most for a kB, a newcomer that fits only at the floor is refused, and relief stops there.
+func TestNoSetUpUnderTheBestRungForAKB(t *testing.T) {
+	cfg := testConfig()
+	cfg.RungWorth = []float64{0.2, 0.6, 1}
+	b := start(t, cfg)
+	b.tell(mark - 0.06) // 60 of 1000 kB/s: room for the floor of 50, not for 100
+	if _, acts := b.ask(0, 2); has(acts, ActSend) {
+		t.Fatal("set up at the floor, which earns less for a kB")
+	}
+	b.tell(0.4)
+	if _, acts := b.ask(0, 2); !has(acts, ActSend) {
+		t.Fatal("refused where there is room")
+	}
+}
+
+func TestReliefKeepsTheBestRungUntilItIsWorse(t *testing.T) {
+	for _, load := range []float64{1.04, 1.9} {
+		cfg := testConfig()
+		cfg.RungWorth = []float64{0.2, 0.6, 1}
+		b := start(t, cfg)
+		id := fleet(1)[0].ID
+		var ev []Event
+		for i := range SessionID(5) {
+			ev = append(ev, Event{Kind: EvExisting, Session: 500 + i, Server: id, Title: 1, Copies: 3, TopRung: 2},
+				Event{Kind: EvNote, Session: 500 + i, Server: id, Note: NoteRung, Value: 1})
+		}
+		b.step(ev...)
+		b.now += 6000
+		b.step(Event{Kind: EvNote, Session: 500, Server: id, Note: NoteLink, Value: load})
+		b.now += 250
+		lowered := has(b.step(Event{Kind: EvTimer, Timer: tickTimer}), ActRung)
+		if want := load > worseAt; lowered != want {
+			t.Fatalf("at load %v lowered is %v, want %v", load, lowered, want)
+		}
+	}
+}
+
+// The first report of a server is all that is known of it; half of a guess must not dilute it.
+func TestFirstReportCountsInFull(t *testing.T) {
+	b := start(t, testConfig())
+	id, acts := b.ask(0, 3)
+	to, _, _ := sent(acts)
+	b.step(Event{Kind: EvSettled, Session: id, Server: to, Outcome: Full, Finished: true,
+		Report: Report{Told: true, Streams: -1, Link: 1.2, Uplink: -1}})
+	if l := b.c.linkLoad(b.c.servers[to]); l < 1.1 {
+		t.Fatalf("link estimate %v after a first report of 1.2", l)
+	}
+}
+
+// Ten fronts of 300 press one cold server at the same time; together they must stay under its budget.
+func TestColdServerAtThreeHundredFronts(t *testing.T) {
+	cfg := bigConfig(300, 10)
+	cfg.WarmWithinMs, cfg.Places = 10000, []int{30}
+	l := bigFleet(10)
+	for i := range l {
+		l[i].Health = Gone
+	}
+	l[0].Health, l[0].UpSinceMs = Ready, 1e6
+	var fronts []*Controller
+	for me := range 10 {
+		cfg.Me = me
+		fronts = append(fronts, front(t, cfg, uint64(me), l))
+	}
+	var at []float64
+	for now := 1e6; now < 1e6+cfg.WarmWithinMs; now += 10 {
+		for _, c := range fronts {
+			ev := Event{Kind: EvRequest, Session: SessionID(now-1e6) + 1, Title: 1, RemainingMs: 3000, Copies: 3}
+			if to, _, ok := sent(c.Step(now, []Event{ev}, nil)); ok {
+				at = append(at, now)
+				c.Step(now, []Event{{Kind: EvSettled, Session: ev.Session, Server: to, Outcome: Full, Finished: true}}, nil)
+			}
+		}
+	}
+	budget := 2 * float64(cfg.Places[0]) / cfg.WarmWithinMs * cfg.ColdFrom * 1000
+	for i := range at {
+		n := 0.0
+		for _, x := range at[i:] {
+			if x < at[i]+1000 {
+				n++
+			}
+		}
+		if n > budget+1 {
+			t.Fatalf("%v set-ups within a second, budget %v", n, budget)
+		}
+	}
+	if len(at) == 0 {
+		t.Fatal("no set-up at all in the warm-up")
+	}
+}
+
+// An empty list, titles without holders, every title everywhere, a late batch and a jump of the clock.
+func TestEdgesAtSize(t *testing.T) {
+	c := front(t, bigConfig(300, 300), 1, nil)
+	ask := func(now float64, id SessionID, copies int) []Action {
+		return c.Step(now, []Event{{Kind: EvRequest, Session: id, Title: uint64(id), RemainingMs: 3000,
+			Home: int(id), Copies: copies, TopRung: 2}, {Kind: EvTimer, Timer: tickTimer}}, nil)
+	}
+	if !has(ask(1e6, 1, 3), ActRefuse) {
+		t.Fatal("no answer with an empty list")
+	}
+	c.Step(1e6+1, []Event{{Kind: EvServers, Servers: bigFleet(300)}}, nil)
+	var backlog []Event
+	for i := range SessionID(200) {
+		backlog = append(backlog, Event{Kind: EvRequest, Session: 100 + i, Title: uint64(i), RemainingMs: 3000,
+			Home: int(i), Copies: 300, TopRung: 2})
+	}
+	answered := map[SessionID]bool{}
+	for _, a := range c.Step(1e6+5e3, backlog, nil) {
+		if a.Kind == ActSend || a.Kind == ActRefuse || a.Kind == ActFail {
+			answered[a.Session] = true
+		}
+	}
+	if len(answered) != len(backlog) {
+		t.Fatalf("%d of %d requests of a late batch were dealt with", len(answered), len(backlog))
+	}
+	if acts := ask(1e9, 900, 3); !has(acts, ActSend) && !has(acts, ActRefuse) {
+		t.Fatal("no decision after a jump of the clock")
+	}
+	if acts := ask(1e9+1, 901, 0); !has(acts, ActRefuse) {
+		t.Fatal("a title that nobody holds was not refused")
+	}
+}
+
+// BenchmarkRequest is one request where all 250 servers hold the title; its figure is for reading.
+func BenchmarkRequest(b *testing.B) {
+	c := front(b, bigConfig(300, 250), 1, bigFleet(250))
+	for i := range b.N {
+		id := SessionID(i + 1)
+		to, _, ok := sent(c.Step(1e6, []Event{{Kind: EvRequest, Session: id, Title: 7, RemainingMs: 3000,
+			Copies: 250, TopRung: 2}}, nil))
+		if ok {
+			c.Step(1e6, []Event{{Kind: EvSettled, Session: id, Server: to, Outcome: Served, Finished: true}}, nil)
+		}
+	}
+}
