The running director: DASH manifests with session tokens, headmill serve, up, token, check

A director on its own epoll loop takes GET /dash/TITLE/manifest.mpd with an EdDSA token, lets the module place the session, sets it up at a box over pooled connections and answers with an MPD for this session. What the module does not decide is in pure packages: decide/once (is this request one under way), decide/attempt (what became of a set-up; the only proofs of never ran), decide/boxes (sessions lost with a box), decide/fleet (which list counts), decide/retire (how it stops).

--- /dev/null
+++ b/decide/fleet/fleet.go
@@ -0,0 +1,192 @@
+// Package fleet decides what a director believes of the box list: which
+// message of the list service counts, which is stale or has a gap before it,
+// and when a box has started anew. It turns messages into the entries that the
+// module is told.
+//
+// It is pure. Names of boxes become numbers here, once, and stay the same.
+package fleet
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"slices"
+
+	"headmill"
+)
+
+// Entry is a box as the list service tells it.
+type Entry struct {
+	Addr   string  // IPv4:PORT of its set-up interface; its name
+	State  string  // ready, draining or gone
+	Boot   string  // changes with each start of the process
+	UpMs   float64 // since that start; 0: long ago
+	Cell   int
+	Kind   int
+	Zone   int
+	Weight float64
+}
+
+// Message is one message of the list service. Versions rise by one within an epoch.
+type Message struct {
+	Epoch   string // changes when the service has lost its count
+	Version uint64
+	Full    bool
+	Entries []Entry
+}
+
+// Verdict tells what became of a message.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Taken Verdict = iota
+	Stale         // older than what is known: dropped
+	Gap           // one before it is missing: dropped, a full list must be asked for
+	Bad           // not usable as a whole; the old list stays
+)
+
+var verdictNames = [...]string{"taken", "stale", "gap", "bad"}
+
+func (v Verdict) String() string { return verdictNames[v] }
+
+// Config bounds the list and says what the fleet can look like.
+type Config struct {
+	MaxBoxes int
+	Cells    int
+	Kinds    int // 0: any
+}
+
+type known struct {
+	Entry
+	id    headmill.ServerID
+	since float64 // start of the present boot on the director's clock; 0: long ago
+}
+
+// List is the believed list.
+type List struct {
+	cfg     Config
+	epoch   string
+	version uint64
+	some    bool
+	boxes   map[headmill.ServerID]*known
+}
+
+// New makes an empty list.
+func New(cfg Config) *List { return &List{cfg: cfg, boxes: map[headmill.ServerID]*known{}} }
+
+// Version is the last version taken.
+func (l *List) Version() uint64 { return l.version }
+
+// Len is the number of boxes that are not gone.
+func (l *List) Len() int { return len(l.boxes) }
+
+// Addr is the address of a box; empty where it was never listed or is long gone.
+func (l *List) Addr(id headmill.ServerID) string {
+	if k := l.boxes[id]; k != nil {
+		return k.Addr
+	}
+	return Format(id)
+}
+
+// Format is the address that a number stands for.
+func Format(id headmill.ServerID) string {
+	return fmt.Sprintf("%d.%d.%d.%d:%d", id&255, id>>8&255, id>>16&255, id>>24&255, id>>32&65535)
+}
+
+// ID makes a box's number from its address.
+func ID(addr string) (headmill.ServerID, error) {
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil || !ap.Addr().Is4() || ap.Port() == 0 {
+		return 0, fmt.Errorf("fleet: box address %q is not IPv4:PORT", addr)
+	}
+	a := ap.Addr().As4()
+	return headmill.ServerID(a[0]) | headmill.ServerID(a[1])<<8 | headmill.ServerID(a[2])<<16 |
+		headmill.ServerID(a[3])<<24 | headmill.ServerID(ap.Port())<<32, nil
+}
+
+// Take judges a message at now (ms). If it is taken, ev is what the module is to be told; the caller owns it.
+func (l *List) Take(now float64, m *Message) (ev headmill.Event, v Verdict, err error) {
+	if l.some && m.Epoch == l.epoch {
+		switch {
+		case m.Version < l.version, m.Version == l.version && !m.Full:
+			return ev, Stale, nil
+		case !m.Full && m.Version != l.version+1:
+			return ev, Gap, nil
+		}
+	} else if !m.Full {
+		return ev, Gap, nil // a delta to a list that was never seen
+	}
+	fresh := make([]*known, 0, len(m.Entries))
+	seen := map[headmill.ServerID]bool{}
+	for i := range m.Entries {
+		k, err := l.entry(now, &m.Entries[i])
+		if err != nil {
+			return ev, Bad, fmt.Errorf("fleet: version %d, entry %d: %w", m.Version, i, err)
+		}
+		if seen[k.id] {
+			return ev, Bad, fmt.Errorf("fleet: version %d: box %s comes twice", m.Version, k.Addr)
+		}
+		seen[k.id] = true
+		fresh = append(fresh, k)
+	}
+	if n := len(fresh); n > l.cfg.MaxBoxes || !m.Full && len(l.boxes)+n > 2*l.cfg.MaxBoxes {
+		return ev, Bad, fmt.Errorf("fleet: version %d has %d boxes, over the cap of %d", m.Version, n, l.cfg.MaxBoxes)
+	}
+	l.epoch, l.version, l.some = m.Epoch, m.Version, true
+	ev = headmill.Event{Kind: headmill.EvServers, Delta: !m.Full}
+	if m.Full {
+		clear(l.boxes)
+	}
+	for _, k := range fresh {
+		if k.State == "gone" {
+			delete(l.boxes, k.id)
+			if m.Full {
+				continue // absent from a full list is gone
+			}
+		} else {
+			l.boxes[k.id] = k
+		}
+		ev.Servers = append(ev.Servers, k.server())
+	}
+	slices.SortFunc(ev.Servers, func(a, b headmill.Server) int { return cmp.Compare(a.ID, b.ID) })
+	return ev, Taken, nil
+}
+
+// entry checks one box. Its start is kept while its boot is the same: told ages wander by the lateness of
+// messages, and a wandering start would look like a restart.
+func (l *List) entry(now float64, e *Entry) (*known, error) {
+	id, err := ID(e.Addr)
+	if err != nil {
+		return nil, err
+	}
+	switch {
+	case e.State != "ready" && e.State != "draining" && e.State != "gone":
+		return nil, fmt.Errorf("box %s: state %q is not ready, draining or gone", e.Addr, e.State)
+	case e.Cell < 0 || e.Cell >= l.cfg.Cells:
+		return nil, fmt.Errorf("box %s: cell %d of %d", e.Addr, e.Cell, l.cfg.Cells)
+	case e.Kind < 0 || l.cfg.Kinds > 0 && e.Kind >= l.cfg.Kinds:
+		return nil, fmt.Errorf("box %s: kind %d of %d", e.Addr, e.Kind, l.cfg.Kinds)
+	case !(e.UpMs >= 0) || !(e.Weight >= 0) || e.UpMs > 1e15:
+		return nil, fmt.Errorf("box %s: age %v ms, weight %v", e.Addr, e.UpMs, e.Weight)
+	}
+	k := &known{Entry: *e, id: id}
+	if e.UpMs > 0 {
+		k.since = max(now-e.UpMs, 0.001) // it started before this director's clock did: still not "long ago"
+	}
+	if old := l.boxes[id]; old != nil && old.Boot == e.Boot {
+		k.since = old.since
+	}
+	return k, nil
+}
+
+func (k *known) server() headmill.Server {
+	s := headmill.Server{ID: k.id, UpSinceMs: k.since, Cell: k.Cell, Weight: k.Weight, Kind: k.Kind, Zone: k.Zone}
+	switch k.State {
+	case "draining":
+		s.Health = headmill.Draining
+	case "gone":
+		s.Health = headmill.Gone
+	}
+	return s
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,563 @@
+// Package config reads a director's settings from TOML and checks them. Each
+// error names file, line and key and says what is wanted. It owns no state and
+// decides nothing: defaults are bounds and times that an operator may change,
+// and what the module's Config wants is handed over as it stands.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+
+	"headmill"
+)
+
+// Settings is the whole file. Times are ms, rates kB a second, sizes bytes.
+type Settings struct {
+	Director Director `toml:"director"`
+	List     List     `toml:"list"`
+	Tokens   Tokens   `toml:"tokens"`
+	Limits   Limits   `toml:"limits"`
+	Times    Times    `toml:"times"`
+	Ladder   Ladder   `toml:"ladder"`
+	Fleet    Fleet    `toml:"fleet"`
+	Attempts Attempts `toml:"attempts"`
+	Classes  []Class  `toml:"class"`
+	Titles   []Title  `toml:"title"`
+	Log      Log      `toml:"log"`
+}
+
+// Director names this director among the others.
+type Director struct {
+	Name       string   `toml:"name"`
+	Listen     string   `toml:"listen"`
+	Directors  []string `toml:"directors"` // names of all; alike at every director
+	URLs       []string `toml:"urls"`      // where viewers reach each, in the order of directors
+	Zone       int      `toml:"zone"`
+	Seed       uint64   `toml:"seed"`        // 0: drawn at the start
+	FirstStart bool     `toml:"first_start"` // no earlier run took tokens: see operate/director.md
+}
+
+// List names the list service.
+type List struct {
+	Addr    string  `toml:"addr"` // IPv4:PORT
+	Path    string  `toml:"path"`
+	RetryMs float64 `toml:"retry_ms"`
+	// SilentMs without a byte means that the stream is broken; the service sends comments to keep it alive.
+	SilentMs float64 `toml:"silent_ms"`
+}
+
+// Tokens names the key set.
+type Tokens struct {
+	Keys   string  `toml:"keys"` // file of a JSON Web Key Set; relative to the settings file
+	SkewMs float64 `toml:"skew_ms"`
+	Cache  int     `toml:"cache"`
+}
+
+// Limits bounds what is kept.
+type Limits struct {
+	Connections   int `toml:"connections"`
+	Line          int `toml:"line"`
+	Head          int `toml:"head"`
+	Fields        int `toml:"fields"`
+	Body          int `toml:"body"`
+	Output        int `toml:"output"`  // bytes that may wait for a viewer
+	Entries       int `toml:"entries"` // of the once-ledger
+	Waiters       int `toml:"waiters"` // requests that wait for one session
+	Boxes         int `toml:"boxes"`
+	PoolPerBox    int `toml:"pool_per_box"`   // kept connections to a box
+	EventBytes    int `toml:"event_bytes"`    // one event of the list or of a box
+	ConnsPerBox   int `toml:"conns_per_box"`  // connections to a box in all
+	SessionsInAll int `toml:"sessions"`       // sessions of this director
+	CommandsABox  int `toml:"commands_a_box"` // rung changes and ends that wait for one box
+}
+
+// Times has the time limits of connections and boxes.
+type Times struct {
+	HeadMs      float64 `toml:"head_ms"`
+	IdleMs      float64 `toml:"idle_ms"`
+	WriteMs     float64 `toml:"write_ms"`
+	ConnectMs   float64 `toml:"connect_ms"`
+	BoxIdleMs   float64 `toml:"box_idle_ms"`
+	LateMs      float64 `toml:"late_ms"` // how long a late word of a box on a paid set-up is listened for
+	HoldMs      float64 `toml:"hold_ms"` // how long a session that no viewer took is kept
+	BoxSilentMs float64 `toml:"box_silent_ms"`
+	BoxLostMs   float64 `toml:"box_lost_ms"`
+	FinishMs    float64 `toml:"finish_ms"`
+	PlayMs      float64 `toml:"play_ms"`
+	EndMs       float64 `toml:"end_ms"`
+	CommandMs   float64 `toml:"command_ms"`
+	MarginMs    float64 `toml:"margin_ms"` // an answer is given so long before the viewer gives up
+}
+
+// Ladder is the ladder of rates.
+type Ladder struct {
+	RateKB    []float64 `toml:"rate_kb"`
+	Worth     []float64 `toml:"worth"`
+	Width     []int     `toml:"width"`
+	SegmentMs float64   `toml:"segment_ms"`
+	SwitchS   float64   `toml:"switch_s"`
+}
+
+// Fleet is what is known of the boxes beforehand.
+type Fleet struct {
+	Cells        int     `toml:"cells"`
+	Racks        int     `toml:"racks"`
+	Places       []int   `toml:"places"`
+	LinkUnitKB   float64 `toml:"link_unit_kb"`
+	AllLinksKB   float64 `toml:"all_links_kb"`
+	UplinkKB     float64 `toml:"uplink_kb"`
+	WeightsKnown bool    `toml:"weights_known"`
+	TellMs       float64 `toml:"tell_ms"`
+	ToldLateMs   float64 `toml:"told_late_ms"`
+	WarmWithinMs float64 `toml:"warm_within_ms"`
+	ColdFrom     float64 `toml:"cold_from"`
+}
+
+// Attempts bounds what is tried for a request.
+type Attempts struct {
+	Max             int     `toml:"max"`
+	RetryAfter      bool    `toml:"retry_after"`
+	MaxRetryAfterMs float64 `toml:"max_retry_after_ms"`
+	Rationed        bool    `toml:"rationed"`
+	MinExtra        float64 `toml:"min_extra"`
+	RepeatRatio     float64 `toml:"repeat_ratio"`
+	LookBackMs      float64 `toml:"look_back_ms"`
+}
+
+// Class is one kind of session.
+type Class struct {
+	Name     string  `toml:"name"`
+	AimMs    float64 `toml:"aim_ms"`
+	GiveUpMs float64 `toml:"give_up_ms"`
+	Repeat   string  `toml:"repeat"` // repeatable, by_key or once
+	KeyScope string  `toml:"key_scope"`
+	KeyTTLMs float64 `toml:"key_ttl_ms"`
+	Value    float64 `toml:"value"`
+	Scale    float64 `toml:"scale"`
+	Floor    int     `toml:"floor"`
+	Top      int     `toml:"top"` // -1: the ladder's
+	Seats    int     `toml:"seats"`
+}
+
+// Title is one entry of the catalogue.
+type Title struct {
+	Name       string  `toml:"name"`
+	Class      string  `toml:"class"`
+	Home       int     `toml:"home"`
+	Copies     int     `toml:"copies"`
+	DurationMs float64 `toml:"duration_ms"`
+}
+
+// Log says where logs go.
+type Log struct {
+	Level string `toml:"level"`
+	File  string `toml:"file"` // empty: standard error
+}
+
+// Default is what a file that says nothing would mean.
+func Default() Settings {
+	return Settings{
+		Director: Director{Listen: "127.0.0.1:0"},
+		List:     List{Path: "/list", RetryMs: 250, SilentMs: 5000},
+		Tokens:   Tokens{SkewMs: 250, Cache: 8192},
+		Limits: Limits{Connections: 20000, Line: 4608, Head: 16384, Fields: 64, Body: 65536,
+			Output: 262144, Entries: 200000, Waiters: 8, Boxes: 1024, PoolPerBox: 64, EventBytes: 1 << 20,
+			ConnsPerBox: 512, SessionsInAll: 100000, CommandsABox: 4096},
+		Times: Times{HeadMs: 5000, IdleMs: 60000, WriteMs: 10000, ConnectMs: 250, BoxIdleMs: 15000, LateMs: 10000,
+			HoldMs: 8000, BoxSilentMs: 3000, BoxLostMs: 4000, FinishMs: 6000, PlayMs: 10000, EndMs: 1000,
+			CommandMs: 2000, MarginMs: 25},
+		Ladder:   Ladder{SegmentMs: 2000},
+		Fleet:    Fleet{Cells: 1, Racks: 1},
+		Attempts: Attempts{Max: 3, RetryAfter: true, MaxRetryAfterMs: 1000},
+		Log:      Log{Level: "info"},
+	}
+}
+
+// Problem is one fault with its place.
+type Problem struct {
+	File string
+	Line int // 0: the key is not in the file
+	Key  string
+	Why  string
+}
+
+func (p Problem) Error() string {
+	if p.Line == 0 {
+		return fmt.Sprintf("%s: %s: %s", p.File, p.Key, p.Why)
+	}
+	return fmt.Sprintf("%s:%d: %s: %s", p.File, p.Line, p.Key, p.Why)
+}
+
+// Load reads and checks a file. The error joins one Problem for each fault found.
+func Load(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	s, err := Parse(path, text)
+	if err != nil {
+		return nil, err
+	}
+	if s.Tokens.Keys != "" && !filepath.IsAbs(s.Tokens.Keys) {
+		s.Tokens.Keys = filepath.Join(filepath.Dir(path), s.Tokens.Keys)
+	}
+	return s, nil
+}
+
+// Parse checks a text; file is its name in errors.
+func Parse(file string, text []byte) (*Settings, error) {
+	s := Default()
+	dec := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields()
+	if err := dec.Decode(&s); err != nil {
+		return nil, decodeError(file, err)
+	}
+	for i := range s.Classes {
+		c := &s.Classes[i]
+		if c.Scale == 0 {
+			c.Scale = 1
+		}
+		if c.Top < 0 || c.Top == 0 && !wasSet(text, "class", i, "top") {
+			c.Top = len(s.Ladder.RateKB) - 1
+		}
+	}
+	ck := &checker{file: file, lines: places(text), s: &s}
+	ck.all()
+	if len(ck.problems) > 0 {
+		sort.SliceStable(ck.problems, func(i, j int) bool { return ck.problems[i].Line < ck.problems[j].Line })
+		var errs []error
+		for _, p := range ck.problems {
+			errs = append(errs, p)
+		}
+		return nil, errors.Join(errs...)
+	}
+	return &s, nil
+}
+
+func wasSet(text []byte, table string, i int, key string) bool {
+	_, ok := places(text)[fmt.Sprintf("%s[%d].%s", table, i, key)]
+	return ok
+}
+
+func decodeError(file string, err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		var errs []error
+		for i := range strict.Errors {
+			e := &strict.Errors[i]
+			row, _ := e.Position()
+			errs = append(errs, Problem{file, row, strings.Join(e.Key(), "."),
+				"no such key; see docs/operate/director.md for all of them"})
+		}
+		return errors.Join(errs...)
+	}
+	var de *toml.DecodeError
+	if errors.As(err, &de) {
+		row, _ := de.Position()
+		key := strings.Join(de.Key(), ".")
+		if key == "" {
+			key = "syntax"
+		}
+		return Problem{file, row, key, strings.TrimPrefix(de.Error(), "toml: ")}
+	}
+	return fmt.Errorf("%s: %w", file, err)
+}
+
+// places finds the line of every key: "times.head_ms", "class[1].aim_ms".
+func places(text []byte) map[string]int {
+	out := map[string]int{}
+	counts := map[string]int{}
+	prefix := ""
+	p := unstable.Parser{}
+	p.Reset(text)
+	for p.NextExpression() {
+		e := p.Expression()
+		var parts []string
+		row := 0
+		for it := e.Key(); it.Next(); {
+			n := it.Node()
+			parts = append(parts, string(n.Data))
+			if row == 0 {
+				row = p.Shape(n.Raw).Start.Line
+			}
+		}
+		name := strings.Join(parts, ".")
+		switch e.Kind {
+		case unstable.Table:
+			prefix = name
+		case unstable.ArrayTable:
+			prefix = fmt.Sprintf("%s[%d]", name, counts[name])
+			counts[name]++
+		case unstable.KeyValue:
+			if prefix != "" {
+				name = prefix + "." + name
+			}
+		default:
+			continue
+		}
+		if e.Kind != unstable.KeyValue {
+			name = prefix
+		}
+		if _, ok := out[name]; !ok {
+			out[name] = row
+		}
+	}
+	return out
+}
+
+type checker struct {
+	file     string
+	lines    map[string]int
+	s        *Settings
+	problems []Problem
+}
+
+// bad notes a fault at a key; the line is the key's, else that of its table.
+func (c *checker) bad(key, why string, args ...any) {
+	line := c.lines[key]
+	for k := key; line == 0 && strings.Contains(k, "."); {
+		k = k[:strings.LastIndexByte(k, '.')]
+		line = c.lines[k]
+	}
+	c.problems = append(c.problems, Problem{c.file, line, key, fmt.Sprintf(why, args...)})
+}
+
+func (c *checker) addr(key, v string, zeroPort bool) {
+	ap, err := netip.ParseAddrPort(v)
+	switch {
+	case err != nil:
+		c.bad(key, "%q is not IPv4:PORT", v)
+	case !ap.Addr().Is4() || !ap.Addr().IsLoopback():
+		c.bad(key, "%s is not on 127.0.0.0/8; this version serves the loopback interface only", v)
+	case ap.Port() == 0 && !zeroPort:
+		c.bad(key, "%s needs a port", v)
+	}
+}
+
+func (c *checker) atLeast(key string, v, least float64) {
+	if !(v >= least) || v > 1e12 {
+		c.bad(key, "%v must be a number of at least %v", v, least)
+	}
+}
+
+func (c *checker) all() {
+	s := c.s
+	d := &s.Director
+	if d.Name == "" {
+		c.bad("director.name", "is needed, for instance name = \"d0\"")
+	}
+	c.addr("director.listen", d.Listen, true)
+	if d.Name != "" && len(d.Directors) > 0 && s.Me() < 0 {
+		c.bad("director.directors", "does not hold this director's own name %q", d.Name)
+	}
+	seen := map[string]bool{}
+	for _, n := range d.Directors {
+		if seen[n] {
+			c.bad("director.directors", "%q stands there twice", n)
+		}
+		seen[n] = true
+	}
+	if len(d.URLs) > 0 && len(d.URLs) != len(d.Directors) {
+		c.bad("director.urls", "has %d entries for %d directors", len(d.URLs), len(d.Directors))
+	}
+	if len(d.Directors) > 1 && len(d.URLs) == 0 {
+		c.bad("director.urls", "is needed with several directors: a paid token that arrives at the wrong one is sent on")
+	}
+	for _, u := range d.URLs {
+		if !strings.HasPrefix(u, "http://") || strings.HasSuffix(u, "/") {
+			c.bad("director.urls", "%q is not http://IPv4:PORT without a final slash", u)
+		}
+	}
+	c.addr("list.addr", s.List.Addr, false)
+	if !strings.HasPrefix(s.List.Path, "/") {
+		c.bad("list.path", "%q must begin with a slash", s.List.Path)
+	}
+	if s.Tokens.Keys == "" {
+		c.bad("tokens.keys", "is needed: the file of a JSON Web Key Set (headmill token keys makes one)")
+	}
+	for _, f := range []struct {
+		key   string
+		v     float64
+		least float64
+	}{
+		{"list.retry_ms", s.List.RetryMs, 10}, {"list.silent_ms", s.List.SilentMs, 100},
+		{"tokens.skew_ms", s.Tokens.SkewMs, 0}, {"tokens.cache", float64(s.Tokens.Cache), 1},
+		{"limits.connections", float64(s.Limits.Connections), 1}, {"limits.line", float64(s.Limits.Line), 64},
+		{"limits.head", float64(s.Limits.Head), 128}, {"limits.fields", float64(s.Limits.Fields), 4},
+		{"limits.body", float64(s.Limits.Body), 0},
+		{"limits.output", float64(s.Limits.Output), 4096}, {"limits.entries", float64(s.Limits.Entries), 1},
+		{"limits.waiters", float64(s.Limits.Waiters), 1}, {"limits.boxes", float64(s.Limits.Boxes), 1},
+		{"limits.pool_per_box", float64(s.Limits.PoolPerBox), 0},
+		{"limits.event_bytes", float64(s.Limits.EventBytes), 1024},
+		{"limits.conns_per_box", float64(s.Limits.ConnsPerBox), 2},
+		{"limits.sessions", float64(s.Limits.SessionsInAll), 1},
+		{"limits.commands_a_box", float64(s.Limits.CommandsABox), 1},
+		{"times.head_ms", s.Times.HeadMs, 10}, {"times.idle_ms", s.Times.IdleMs, 10},
+		{"times.write_ms", s.Times.WriteMs, 10}, {"times.connect_ms", s.Times.ConnectMs, 1},
+		{"times.box_idle_ms", s.Times.BoxIdleMs, 10}, {"times.late_ms", s.Times.LateMs, 0},
+		{"times.hold_ms", s.Times.HoldMs, 0}, {"times.box_silent_ms", s.Times.BoxSilentMs, 50},
+		{"times.box_lost_ms", s.Times.BoxLostMs, 50}, {"times.finish_ms", s.Times.FinishMs, 0},
+		{"times.play_ms", s.Times.PlayMs, 0}, {"times.end_ms", s.Times.EndMs, 0},
+		{"times.command_ms", s.Times.CommandMs, 10}, {"times.margin_ms", s.Times.MarginMs, 0},
+		{"ladder.segment_ms", s.Ladder.SegmentMs, 100}, {"ladder.switch_s", s.Ladder.SwitchS, 0},
+		{"fleet.cells", float64(s.Fleet.Cells), 1}, {"fleet.racks", float64(s.Fleet.Racks), 1},
+		{"fleet.link_unit_kb", s.Fleet.LinkUnitKB, 0}, {"fleet.all_links_kb", s.Fleet.AllLinksKB, 0},
+		{"fleet.uplink_kb", s.Fleet.UplinkKB, 0}, {"fleet.tell_ms", s.Fleet.TellMs, 0},
+		{"fleet.told_late_ms", s.Fleet.ToldLateMs, 0}, {"fleet.warm_within_ms", s.Fleet.WarmWithinMs, 0},
+		{"fleet.cold_from", s.Fleet.ColdFrom, 0}, {"attempts.max", float64(s.Attempts.Max), 1},
+		{"attempts.max_retry_after_ms", s.Attempts.MaxRetryAfterMs, 0},
+		{"attempts.min_extra", s.Attempts.MinExtra, 0}, {"attempts.repeat_ratio", s.Attempts.RepeatRatio, 0},
+		{"attempts.look_back_ms", s.Attempts.LookBackMs, 0},
+	} {
+		c.atLeast(f.key, f.v, f.least)
+	}
+	if s.Limits.Line > s.Limits.Head {
+		c.bad("limits.line", "%d is over limits.head, %d", s.Limits.Line, s.Limits.Head)
+	}
+	c.ladder()
+	c.classes()
+	c.titles()
+	if len(c.problems) == 0 { // the module has the last word on what it is given
+		if cfg := s.Module(); cfg.Validate() != nil {
+			c.bad("fleet", "%v", cfg.Validate())
+		}
+	}
+}
+
+func (c *checker) ladder() {
+	l := &c.s.Ladder
+	if len(l.RateKB) == 0 {
+		c.bad("ladder.rate_kb", "is needed: the rate of each rung in kB a second, rising")
+		return
+	}
+	for i, r := range l.RateKB {
+		if !(r > 0) || i > 0 && r <= l.RateKB[i-1] {
+			c.bad("ladder.rate_kb", "rung %d has %v; rates must be positive and rising", i, r)
+		}
+	}
+	if len(l.Worth) != len(l.RateKB) {
+		c.bad("ladder.worth", "has %d entries for %d rungs", len(l.Worth), len(l.RateKB))
+	}
+	if len(l.Width) != 0 && len(l.Width) != len(l.RateKB) {
+		c.bad("ladder.width", "has %d entries for %d rungs", len(l.Width), len(l.RateKB))
+	}
+}
+
+func (c *checker) classes() {
+	if len(c.s.Classes) == 0 {
+		c.bad("class", "at least one [[class]] is needed")
+	}
+	seen := map[string]bool{}
+	for i := range c.s.Classes {
+		k, at := &c.s.Classes[i], fmt.Sprintf("class[%d].", i)
+		if k.Name == "" || seen[k.Name] {
+			c.bad(at+"name", "%q must be a name of its own", k.Name)
+		}
+		seen[k.Name] = true
+		c.atLeast(at+"aim_ms", k.AimMs, 1)
+		c.atLeast(at+"give_up_ms", k.GiveUpMs, 1)
+		c.atLeast(at+"value", k.Value, 0)
+		c.atLeast(at+"scale", k.Scale, 0.001)
+		c.atLeast(at+"key_ttl_ms", k.KeyTTLMs, 0)
+		if k.Repeat != "repeatable" && k.Repeat != "by_key" && k.Repeat != "once" {
+			c.bad(at+"repeat", "%q must be repeatable, by_key or once", k.Repeat)
+		}
+		if k.KeyScope != "" && k.KeyScope != "all" && k.KeyScope != "zone" && k.KeyScope != "cell" {
+			c.bad(at+"key_scope", "%q must be all, zone or cell", k.KeyScope)
+		}
+		if n := len(c.s.Ladder.RateKB); k.Floor < 0 || k.Floor > k.Top || k.Top >= n {
+			c.bad(at+"floor", "floor %d and top %d do not fit a ladder of %d rungs", k.Floor, k.Top, n)
+		}
+		if k.Seats < 0 {
+			c.bad(at+"seats", "%d must be 0 (no cap) or more", k.Seats)
+		}
+		if k.GiveUpMs > c.s.Times.FinishMs {
+			c.bad("times.finish_ms", "%v is under the give_up_ms of class %q, %v: a stop would cut its answers short",
+				c.s.Times.FinishMs, k.Name, k.GiveUpMs)
+		}
+	}
+}
+
+func (c *checker) titles() {
+	seen := map[string]bool{}
+	for i := range c.s.Titles {
+		t, at := &c.s.Titles[i], fmt.Sprintf("title[%d].", i)
+		if t.Name == "" || seen[t.Name] || strings.ContainsAny(t.Name, "/?#% ") {
+			c.bad(at+"name", "%q must be a name of its own without / ? # %% or space", t.Name)
+		}
+		seen[t.Name] = true
+		if c.s.ClassNumber(t.Class) < 0 {
+			c.bad(at+"class", "there is no [[class]] named %q", t.Class)
+		}
+		if t.Home < 0 || t.Home >= c.s.Fleet.Cells {
+			c.bad(at+"home", "cell %d of %d", t.Home, c.s.Fleet.Cells)
+		}
+		if t.Copies < 1 || t.Copies > c.s.Fleet.Cells {
+			c.bad(at+"copies", "%d must be 1 to %d cells", t.Copies, c.s.Fleet.Cells)
+		}
+		c.atLeast(at+"duration_ms", t.DurationMs, 100)
+	}
+}
+
+// Me is this director's number among Directors; 0 where it is alone, -1 where its name is missing.
+func (s *Settings) Me() int {
+	if len(s.Director.Directors) == 0 {
+		return 0
+	}
+	for i, n := range s.Director.Directors {
+		if n == s.Director.Name {
+			return i
+		}
+	}
+	return -1
+}
+
+// ClassNumber is the position of a class; -1 where there is none of that name.
+func (s *Settings) ClassNumber(name string) int {
+	for i := range s.Classes {
+		if s.Classes[i].Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// Module is the part that the decision module is given.
+func (s *Settings) Module() headmill.Config {
+	c := headmill.Config{
+		Me: max(s.Me(), 0), Fronts: max(len(s.Director.Directors), 1), Zone: s.Director.Zone,
+		RateKB: s.Ladder.RateKB, RungWorth: s.Ladder.Worth, SwitchS: s.Ladder.SwitchS,
+		Cells: s.Fleet.Cells, Racks: s.Fleet.Racks, Places: s.Fleet.Places, LinkUnitKB: s.Fleet.LinkUnitKB,
+		AllLinksKB: s.Fleet.AllLinksKB, UplinkKB: s.Fleet.UplinkKB, WeightsKnown: s.Fleet.WeightsKnown,
+		TellMs: s.Fleet.TellMs, ToldLateMs: s.Fleet.ToldLateMs, WarmWithinMs: s.Fleet.WarmWithinMs,
+		ColdFrom: s.Fleet.ColdFrom, MaxAttempts: s.Attempts.Max, RetryAfter: s.Attempts.RetryAfter,
+		MaxRetryAfterMs: s.Attempts.MaxRetryAfterMs, RetryRationed: s.Attempts.Rationed,
+		MinExtra: s.Attempts.MinExtra, RepeatRatio: s.Attempts.RepeatRatio, LookBackMs: s.Attempts.LookBackMs,
+	}
+	for i := range s.Classes {
+		k := &s.Classes[i]
+		m := headmill.Class{AimMs: k.AimMs, KeyTTLMs: k.KeyTTLMs, Value: k.Value, Scale: k.Scale,
+			Floor: k.Floor, Top: k.Top, Seats: k.Seats}
+		switch k.Repeat {
+		case "once":
+			m.Repeat = headmill.Once
+		case "by_key":
+			m.Repeat = headmill.ByKey
+		}
+		switch k.KeyScope {
+		case "zone":
+			m.KeyScope = headmill.ScopeZone
+		case "cell":
+			m.KeyScope = headmill.ScopeCell
+		}
+		c.Classes = append(c.Classes, m)
+	}
+	return c
+}
--- /dev/null
+++ b/internal/director/answer.go
@@ -0,0 +1,202 @@
+package director
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"math"
+	"strconv"
+
+	"headmill/decide/once"
+	"headmill/decide/retire"
+	"headmill/internal/http1"
+)
+
+// problemType is the prefix of problem types (RFC 9457 section 3.1.1); docs/operate/director.md lists them.
+const problemType = "urn:headmill:problem:"
+
+var rungNames [64]string
+
+func init() {
+	for i := range rungNames {
+		rungNames[i] = "r" + strconv.Itoa(i)
+	}
+}
+
+// rungName is the id of a rung's representation.
+func rungName(r int) string { return rungNames[r] }
+
+// head begins a response with the fields that all have: none may be stored, and pages of any origin may read it.
+func (v *viewer) head(status int) []byte {
+	b := http1.AppendStatus(v.d.scratch[:0], status)
+	b = append(b, "Access-Control-Allow-Origin: *\r\nCache-Control: no-store\r\n"...)
+	if !v.keep {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	return b
+}
+
+// write sends a response whole and makes ready for the next request.
+func (v *viewer) write(b []byte) {
+	d := v.d
+	d.scratch = b[:0]
+	v.release()
+	v.state, v.claims, v.title, v.waiter = resting, claims{}, nil, 0
+	v.c.Write(b)
+	if !v.keep {
+		v.cut = true
+		v.deadline = d.l.Now() + d.cfg.Times.WriteMs
+		v.c.End()
+		return
+	}
+	v.deadline = d.l.Now() + d.cfg.Times.IdleMs
+	if v.c.Pending() > 0 {
+		v.deadline = d.l.Now() + d.cfg.Times.WriteMs
+	}
+}
+
+// next goes on with what was pipelined behind an answered request.
+func (v *viewer) next() {
+	v.c.Pause(false)
+	if rest := v.rest; len(rest) > 0 && !v.cut {
+		v.rest = nil
+		v.feed(rest)
+	}
+}
+
+// problem answers with a problem document (RFC 9457). retryMs is advice; 0 gives none.
+func (v *viewer) problem(status int, kind, detail string, retryMs float64) {
+	b := v.head(status)
+	if status == 401 {
+		b = http1.AppendField(b, "WWW-Authenticate", `Bearer realm="headmill", error="invalid_token"`)
+	}
+	if retryMs > 0 {
+		b = http1.AppendField(b, "Retry-After", strconv.Itoa(int(math.Ceil(retryMs/1000))))
+		b = append(b, "Access-Control-Expose-Headers: Retry-After\r\n"...)
+	}
+	doc := struct {
+		Type    string  `json:"type"`
+		Title   string  `json:"title"`
+		Status  int     `json:"status"`
+		Detail  string  `json:"detail"`
+		RetryMs float64 `json:"retry_after_ms,omitempty"`
+	}{problemType + kind, http1.Reason(status), status, detail, retryMs}
+	body, _ := json.Marshal(doc) // strings and numbers only: it can't fail
+	b = http1.AppendField(b, "Content-Type", "application/problem+json")
+	v.write(http1.AppendBody(b, body, false))
+}
+
+func (v *viewer) notAllowed() {
+	b := v.head(405)
+	b = http1.AppendField(b, "Allow", "GET, OPTIONS")
+	v.write(http1.AppendBody(b, nil, false))
+}
+
+// preflight answers a browser's CORS preflight: the Authorization field needs one (WHATWG Fetch 4.8).
+func (v *viewer) preflight() {
+	b := v.head(204)
+	b = append(b, "Access-Control-Allow-Methods: GET, OPTIONS\r\nAccess-Control-Allow-Headers: Authorization\r\n"+
+		"Access-Control-Max-Age: 600\r\n\r\n"...)
+	v.write(b)
+}
+
+func (v *viewer) health(head bool) {
+	status, body := 200, "ok\nboxes "+strconv.Itoa(v.d.fleet.Len())+"\n"
+	switch {
+	case v.d.stop.Phase() != retire.Serving:
+		status, body = 503, "stopping\n"
+	case v.d.fleet.Len() == 0:
+		status, body = 503, "no box list\n"
+	}
+	b := http1.AppendField(v.head(status), "Content-Type", "text/plain")
+	v.write(http1.AppendBody(b, []byte(body), head))
+}
+
+// settle takes the waiter off the table just before its one answer.
+func (d *Director) settle(v *viewer) { delete(d.waiters, v.waiter) }
+
+// play answers with the session's manifest.
+func (d *Director) play(v *viewer, s *session) {
+	d.settle(v)
+	d.stats.Played++
+	d.final(v, s, "plays", 200, "")
+	b := http1.AppendField(v.head(200), "Content-Type", "application/dash+xml")
+	d.body = d.manifest(d.body[:0], s, v.claims.raw)
+	v.write(http1.AppendBody(b, d.body, false))
+	v.next()
+}
+
+// refuse answers that nothing ran and trying again is harmless.
+func (d *Director) refuse(v *viewer, a once.Action) {
+	d.settle(v)
+	d.stats.Refused++
+	d.final(v, d.sessions[a.Session], "refused", 503, a.Reason.String())
+	detail := "no box can take this session now; nothing was set up"
+	switch a.Reason {
+	case once.ReasonFull:
+		detail = "this director is at a limit of its settings; nothing was set up"
+	case once.ReasonCrowd:
+		detail = "too many requests wait for this session already"
+	case once.ReasonStop:
+		detail = "this director is stopping; another one will take the session"
+		v.keep = false
+	}
+	v.problem(503, "refused-"+a.Reason.String(), detail, a.RetryMs)
+	v.next()
+}
+
+var failures = map[once.Reason]struct {
+	status int
+	detail string
+}{
+	once.ReasonBox:     {502, "the box failed while the session was set up; whether it ran is not known"},
+	once.ReasonTime:    {504, "no box answered in time; whether the session was set up is not known"},
+	once.ReasonUnknown: {502, "an earlier try of this session may have been set up; it is not set up again"},
+	once.ReasonOver:    {410, "this session was set up and has ended; a paid session is not set up again"},
+	once.ReasonEarlier: {409, "the token is older than this director's start; it may have been used before. Get a new token"},
+	once.ReasonReused:  {403, "the token's jti belongs to another session"},
+	once.ReasonStop:    {502, "this director is leaving before the set-up was answered; whether it ran is not known"},
+}
+
+// fail answers without a promise about what ran.
+func (d *Director) fail(v *viewer, a once.Action) {
+	d.settle(v)
+	d.stats.Failed++
+	f, ok := failures[a.Reason]
+	if !ok {
+		f.status, f.detail = 502, "the session could not be set up; whether it ran is not known"
+	}
+	d.final(v, d.sessions[a.Session], "failed", f.status, a.Reason.String())
+	v.problem(f.status, "failed-"+a.Reason.String(), f.detail, 0)
+	v.next()
+}
+
+// redirect sends a paid token to the director that answers for it (RFC 9110 15.4.8).
+func (d *Director) redirect(v *viewer, home int) {
+	d.settle(v)
+	d.stats.Elsewhere++
+	d.final(v, nil, "elsewhere", 307, d.cfg.Director.Directors[home])
+	b := v.head(307)
+	b = http1.AppendField(b, "Location", d.cfg.Director.URLs[home]+"/dash/"+v.title.Name+"/manifest.mpd?token="+
+		v.claims.raw)
+	v.write(http1.AppendBody(b, nil, false))
+	v.next()
+}
+
+// final writes the one log line that each answer has.
+func (d *Director) final(v *viewer, s *session, result string, status int, reason string) {
+	attrs := make([]slog.Attr, 0, 16)
+	attrs = append(attrs, slog.String("result", result), slog.Int("status", status), slog.String("reason", reason),
+		slog.String("jti", v.claims.id), slog.String("title", v.title.Name), slog.String("class", v.title.Class),
+		slog.String("brand", v.claims.brand), slog.Float64("took_ms", ms(d.l.Now()-v.since)))
+	if s != nil {
+		attrs = append(attrs, slog.String("session", d.name(s)), slog.Int("attempts", s.attempts),
+			slog.Int("rung", s.rung), slog.String("last", s.last.String()), slog.Float64("asked_ms", ms(d.l.Now()-s.asked)))
+		if s.server != 0 {
+			attrs = append(attrs, slog.String("box", d.fleet.Addr(s.server)))
+		}
+	}
+	d.log.LogAttrs(context.Background(), slog.LevelInfo, "answer", attrs...)
+}
+
+func ms(v float64) float64 { return math.Round(v*10) / 10 }
--- /dev/null
+++ b/internal/director/director.go
@@ -0,0 +1,257 @@
+// Package director is one running director: it turns what passes on sockets
+// into events for the decision modules and carries their actions out. It owns
+// the session table, the viewers' connections and those to boxes and to the
+// list service. It decides nothing: where and at which rung is the module's,
+// whether a request is one under way is decide/once's, what became of a set-up
+// is decide/attempt's, which sessions are lost with a box is decide/boxes',
+// which list counts is decide/fleet's, and how it stops is decide/retire's.
+//
+// A request's way, in files: front.go (accept, parse, token) - path.go (ledger
+// and module, their actions) - setup.go (the set-up at a box) - answer.go (the
+// answer). Notes of boxes come by boxes.go, the box list by list.go.
+//
+// Everything runs on the loop's goroutine.
+package director
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"log/slog"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"headmill"
+	"headmill/decide/boxes"
+	"headmill/decide/fleet"
+	"headmill/decide/once"
+	"headmill/decide/retire"
+	"headmill/internal/config"
+	"headmill/internal/http1"
+	"headmill/internal/loop"
+	"headmill/internal/token"
+)
+
+const tickMs = 50 // ms between looks at time limits and at the ledgers' own times
+
+// title is one entry of the catalogue with the module's number for it.
+type title struct {
+	*config.Title
+	number uint64
+	class  int
+}
+
+// Stats counts what a director did since its start.
+type Stats struct {
+	Asked, Played, Refused, Failed, Denied, Elsewhere uint64
+	Attempts, Lost, Late, Orphans, Lists, CutSlow     uint64
+}
+
+// Director is one director. All methods but Post-safe Stop are for the loop's goroutine.
+type Director struct {
+	cfg    *config.Settings
+	l      *loop.Loop
+	log    *slog.Logger
+	boot   string // distinguishes this run's sessions at the boxes
+	seed   uint64
+	listen *loop.Listener
+
+	module *headmill.Controller
+	ledger *once.Ledger
+	watch  *boxes.Watch
+	fleet  *fleet.List
+	stop   *retire.Stop
+	check  *token.Checker
+	titles map[string]*title
+
+	// What waits for the decision modules, in the order in which it was seen.
+	moduleIn []headmill.Event
+	ledgerIn []once.Event
+	watchIn  []boxes.Event
+	module0  []headmill.Event
+	ledger0  []once.Event
+	watch0   []boxes.Event
+	acts     []headmill.Action
+	flushing bool
+
+	sessions map[once.Session]*session
+	viewers  map[*viewer]struct{}
+	waiters  map[once.Waiter]*viewer
+	boxes    map[headmill.ServerID]*box
+	list     listClient
+
+	lastSession  once.Session
+	lastWaiter   once.Waiter
+	parsers      []*http1.Parser
+	scratch      []byte
+	body         []byte
+	nextSweep    float64
+	nextBoxSweep float64
+	ending       int
+	asked        bool
+	hurry        bool
+	Done         func() // called once when the director has stopped
+	ListenFD     int    // a listening socket that was handed over; 0: open one
+	stats        Stats
+}
+
+// New makes a director on a loop; Start opens it. The keys check session tokens.
+func New(cfg *config.Settings, l *loop.Loop, keys []token.Key, log *slog.Logger) (*Director, error) {
+	var b [12]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return nil, fmt.Errorf("director: %w", err)
+	}
+	d := &Director{cfg: cfg, l: l, log: log, boot: fmt.Sprintf("%08x", b[8:]), seed: cfg.Director.Seed,
+		titles: map[string]*title{}, sessions: map[once.Session]*session{}, viewers: map[*viewer]struct{}{},
+		waiters: map[once.Waiter]*viewer{}, boxes: map[headmill.ServerID]*box{}}
+	if d.seed == 0 {
+		d.seed = binary.LittleEndian.Uint64(b[:])
+	}
+	var err error
+	if d.module, err = headmill.New(cfg.Module(), d.seed); err != nil {
+		return nil, err
+	}
+	for i := range cfg.Titles {
+		t := &cfg.Titles[i]
+		d.titles[t.Name] = &title{Title: t, number: xxhash.Sum64String(t.Name) | 1, class: cfg.ClassNumber(t.Class)}
+	}
+	d.check = token.NewChecker(keys, cfg.Tokens.Cache, time.Duration(cfg.Tokens.SkewMs*float64(time.Millisecond)))
+	d.ledger = once.New(once.Config{Me: max(cfg.Me(), 0), Directors: cfg.Director.Directors,
+		MaxEntries: cfg.Limits.Entries, MaxWaiters: cfg.Limits.Waiters, HoldMs: cfg.Times.HoldMs,
+		SkewMs: cfg.Tokens.SkewMs, RetryMs: cfg.Attempts.MaxRetryAfterMs, UnprovenMs: cfg.Times.LateMs,
+		StartedMs: l.Now(), FirstStart: cfg.Director.FirstStart, SharedPaid: len(cfg.Director.Directors) > 1})
+	t := &cfg.Times
+	d.watch = boxes.New(boxes.Config{SilentMs: t.BoxSilentMs, LostMs: t.BoxLostMs, RetryMs: 100, MaxRetry: 1000,
+		IdleMs: t.BoxIdleMs, OpenMs: t.BoxSilentMs})
+	d.fleet = fleet.New(fleet.Config{MaxBoxes: cfg.Limits.Boxes, Cells: cfg.Fleet.Cells, Kinds: len(cfg.Fleet.Places)})
+	d.stop = retire.New(retire.Config{FinishMs: t.FinishMs, PlayMs: t.PlayMs, EndMs: t.EndMs})
+	d.list.d = d
+	return d, nil
+}
+
+// Start listens, connects to the list service and begins to serve.
+func (d *Director) Start() error {
+	var ln *loop.Listener
+	var err error
+	if d.ListenFD > 0 {
+		ln, err = d.l.ListenFD(d.ListenFD, d.accept)
+	} else {
+		ln, err = d.l.Listen(d.cfg.Director.Listen, d.accept)
+	}
+	if err != nil {
+		return err
+	}
+	d.listen = ln
+	d.list.connect()
+	d.l.OnRound(d.flush)
+	d.tick()
+	return nil
+}
+
+// Addr is the address that viewers connect to.
+func (d *Director) Addr() string { return d.listen.Addr() }
+
+// Stats returns the counts. For the loop's goroutine.
+func (d *Director) Stats() Stats { return d.stats }
+
+// Sizes tells how many entries the tables hold, by purpose. For the loop's goroutine.
+func (d *Director) Sizes() map[string]int {
+	conns := 0
+	for _, b := range d.boxes {
+		conns += b.conns
+	}
+	return map[string]int{"sessions": len(d.sessions), "viewers": len(d.viewers), "waiters": len(d.waiters),
+		"ledger": d.ledger.Entries(), "boxes": len(d.boxes), "box_connections": conns, "tokens": d.check.Cached()}
+}
+
+// Boxes is the number of boxes on the believed list. For the loop's goroutine.
+func (d *Director) Boxes() int { return d.fleet.Len() }
+
+// SetKeys changes the key set while the director runs. For the loop's goroutine.
+func (d *Director) SetKeys(keys []token.Key) { d.check.SetKeys(keys) }
+
+// Stop asks the director to stop, the second time in a hurry. It may be called from any goroutine.
+func (d *Director) Stop() {
+	d.l.Post(func() {
+		d.hurry = d.asked
+		d.asked = true
+		d.retire()
+	})
+}
+
+func (d *Director) tick() {
+	d.ledgerIn = append(d.ledgerIn, once.Event{Kind: once.Tick})
+	d.watchIn = append(d.watchIn, boxes.Event{Kind: boxes.Tick})
+	d.sweepViewers()
+	d.sweepBoxes()
+	d.list.sweep()
+	d.retire()
+	d.l.After(tickMs, d.tick)
+}
+
+// retire carries out how the director stops.
+func (d *Director) retire() {
+	playing := 0
+	if d.asked {
+		for _, s := range d.sessions {
+			if s.state == plays {
+				playing++
+			}
+		}
+	}
+	for _, a := range d.stop.Step(d.l.Now(), retire.Facts{Asked: d.asked, Hurry: d.hurry,
+		Waiting: len(d.waiters), Playing: playing, Ending: d.ending}, nil) {
+		d.log.Info("stopping", "phase", d.stop.Phase().String(), "waiting", len(d.waiters), "playing", playing)
+		switch a {
+		case retire.StopTaking:
+			d.listen.Close()
+			d.ledger.Stop()
+			for v := range d.viewers {
+				v.lastCall()
+			}
+		case retire.FailWaiting:
+			for id := range d.sessions {
+				d.ledgerIn = append(d.ledgerIn, once.Event{Kind: once.Failed, Session: id, Why: once.ReasonStop})
+			}
+		case retire.EndSessions:
+			for _, s := range d.sessions {
+				if s.state == plays {
+					d.endAtBox(s)
+				}
+			}
+		case retire.CutAll:
+			d.flush()
+			for v := range d.viewers {
+				v.c.End()
+			}
+			if d.Done != nil {
+				d.Done()
+			}
+		}
+	}
+}
+
+// wall is the time that tokens are checked against.
+func (d *Director) wall() time.Time { return time.Now() }
+
+func (d *Director) name(s *session) string {
+	return fmt.Sprintf("%s.%s.%d", d.cfg.Director.Name, d.boot, s.id)
+}
+
+// parseName finds the session that a box speaks of; false for one of an earlier run or of another director.
+func (d *Director) parseName(name string) (once.Session, bool) {
+	rest, ok := strings.CutPrefix(name, d.cfg.Director.Name+"."+d.boot+".")
+	if !ok {
+		return 0, false
+	}
+	var id once.Session
+	for _, c := range rest {
+		if c < '0' || c > '9' || id > 1<<32/10-1 {
+			return 0, false
+		}
+		id = id*10 + once.Session(c-'0')
+	}
+	return id, len(rest) > 0
+}
