--- a/cmd/headmill/main.go
+++ b/cmd/headmill/main.go
@@ -11,11 +11,12 @@
 )
 
 var cli struct {
-	Serve serveCmd `cmd:"" help:"Run a director with the settings of FILE."`
-	Check checkCmd `cmd:"" help:"Check a settings file; each fault is told with file, line and key."`
-	Token tokenCmd `cmd:"" help:"Make keys, make tokens, read tokens."`
-	Up    upCmd    `cmd:"" help:"Start a small fleet on loopback and stay until a signal."`
-	Box   boxCmd   `cmd:"" hidden:"" help:"Run a stand-in box (for up and rehearse)."`
+	Serve    serveCmd    `cmd:"" help:"Run a director with the settings of FILE."`
+	Check    checkCmd    `cmd:"" help:"Check a settings file; each fault is told with file, line and key."`
+	Token    tokenCmd    `cmd:"" help:"Make keys, make tokens, read tokens."`
+	Up       upCmd       `cmd:"" help:"Start a small fleet on loopback and stay until a signal."`
+	Rehearse rehearseCmd `cmd:"" help:"Play a bad day against real directors and judge the rules."`
+	Box      boxCmd      `cmd:"" hidden:"" help:"Run a stand-in box (for up and rehearse)."`
 }
 
 func main() {
--- a/decide/once/once.go
+++ b/decide/once/once.go
@@ -232,7 +232,7 @@
 	switch e.state {
 	case StateAsked:
 		if len(e.waiters) >= l.cfg.MaxWaiters {
-			l.refuse(ev.Waiter, ReasonCrowd, l.cfg.RetryMs)
+			l.fail(ev.Waiter, ReasonCrowd) // an attempt is out: no promise about it
 			return
 		}
 		l.join(e, ev.Waiter)
--- a/internal/director/answer.go
+++ b/internal/director/answer.go
@@ -135,8 +135,6 @@
 	switch a.Reason {
 	case once.ReasonFull:
 		detail = "this director is at a limit of its settings; nothing was set up"
-	case once.ReasonCrowd:
-		detail = "too many requests wait for this session already"
 	case once.ReasonStop:
 		detail = "this director is stopping; another one will take the session"
 		v.keep = false
@@ -155,6 +153,7 @@
 	once.ReasonOver:    {410, "this session was set up and has ended; a paid session is not set up again"},
 	once.ReasonEarlier: {409, "the token is older than this director's start; it may have been used before. Get a new token"},
 	once.ReasonReused:  {403, "the token's jti belongs to another session"},
+	once.ReasonCrowd:   {429, "too many requests wait for this session already; one of them will be answered"},
 	once.ReasonStop:    {502, "this director is leaving before the set-up was answered; whether it ran is not known"},
 }
 
--- /dev/null
+++ b/internal/standin/rehearse/rehearse.go
@@ -0,0 +1,342 @@
+package rehearse
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/golang-jwt/jwt/v5"
+
+	"headmill/internal/audit"
+	"headmill/internal/standin/box"
+	"headmill/internal/standin/player"
+	"headmill/internal/standin/stage"
+	"headmill/internal/standin/tap"
+	"headmill/internal/token"
+)
+
+// Run is one rehearsal.
+type Run struct {
+	Script *Script
+	Exe    string
+	Dir    string
+	Edit   func(*stage.Spec) // changes the fleet before it starts
+	Say    func(format string, args ...any)
+
+	st    *stage.Stage
+	mu    sync.Mutex
+	boxF  []box.Faults
+	busy  map[int]bool // boxes that a process trouble has in hand
+	rate  float64
+	Stats player.Stats
+	CPU   []float64 // ms that each director used, as far as it lived to the end
+}
+
+// Play runs the script to its end and returns the auditor's report.
+func (r *Run) Play() (*audit.Report, error) {
+	s := r.Script
+	spec := stage.Small(s.Directors, s.Boxes, s.Titles, s.LifeS*1000)
+	spec.Exe, spec.Dir, spec.CutTaps = r.Exe, r.Dir, true
+	if r.Edit != nil {
+		r.Edit(&spec)
+	}
+	st, err := stage.New(spec)
+	if err != nil {
+		return nil, err
+	}
+	defer st.Close()
+	if err := st.Start(); err != nil {
+		return nil, err
+	}
+	r.st, r.boxF, r.busy, r.rate = st, make([]box.Faults, s.Boxes), map[int]bool{}, 1
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	began := time.Now()
+	var wg sync.WaitGroup
+	rng := rand.New(rand.NewPCG(s.Seed, 11))
+	for _, t := range s.Troubles {
+		on := r.victims(t, rng)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			time.Sleep(time.Until(began.Add(seconds(t.AtS))))
+			r.say("%5.1f s  %s on %s for %.0f s", time.Since(began).Seconds(), t.Name, names(t, on), t.LenS)
+			r.trouble(t, on)
+		}()
+	}
+	viewers := r.viewers(ctx, began, rng)
+	wg.Wait()
+	r.say("%5.1f s  no more viewers; waiting for those who watch", time.Since(began).Seconds())
+	viewers.Wait()
+	for _, m := range st.Directors {
+		if m.Proc.Alive() {
+			r.CPU = append(r.CPU, cpuMs(m.Proc.Pid()))
+		}
+	}
+	time.Sleep(300 * time.Millisecond) // the last notes
+	return audit.Judge(st.Log.Records(), Terms(st)), nil
+}
+
+func (r *Run) say(format string, args ...any) {
+	if r.Say != nil {
+		r.Say(format, args...)
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func names(t Trouble, on []int) string {
+	if t.Name == "burst" {
+		return "viewers"
+	}
+	kind := "b"
+	if played[t.Name] {
+		kind = "d"
+	}
+	var out []string
+	for _, i := range on {
+		out = append(out, kind+strconv.Itoa(i))
+	}
+	return strings.Join(out, ",")
+}
+
+// victims draws whom a trouble falls on; the same seed draws the same.
+func (r *Run) victims(t Trouble, rng *rand.Rand) []int {
+	n := r.Script.Boxes
+	if played[t.Name] {
+		n = r.Script.Directors
+	}
+	perm := rng.Perm(n)
+	if len(t.On) > 0 {
+		return t.On
+	}
+	if t.Name == "report_late" && t.Part == 0 {
+		return perm
+	}
+	k := max(int(math.Round(t.Part*float64(n))), 1)
+	on := perm[:k]
+	slices.Sort(on)
+	return on
+}
+
+// set changes one box's faults.
+func (r *Run) set(i int, change func(*box.Faults)) {
+	r.mu.Lock()
+	change(&r.boxF[i])
+	f := r.boxF[i]
+	r.mu.Unlock()
+	if err := r.st.Fault(r.st.Boxes[i], f); err != nil {
+		r.say("b%d: fault not set: %v", i, err)
+	}
+}
+
+// take claims a box for a trouble of its process; false where another has it.
+func (r *Run) take(i int, on bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if on && r.busy[i] {
+		return false
+	}
+	r.busy[i] = on
+	return true
+}
+
+func (r *Run) trouble(t Trouble, on []int) {
+	wait := func() { time.Sleep(seconds(t.LenS)) }
+	each := func(begin, end func(f *box.Faults)) {
+		for _, i := range on {
+			r.set(i, begin)
+		}
+		wait()
+		for _, i := range on {
+			r.set(i, end)
+		}
+	}
+	switch t.Name {
+	case "slow":
+		each(func(f *box.Faults) { f.Slow = t.Size }, func(f *box.Faults) { f.Slow = 0 })
+	case "fast_errors":
+		each(func(f *box.Faults) { f.Errors = t.Size }, func(f *box.Faults) { f.Errors = 0 })
+	case "hang":
+		each(func(f *box.Faults) { f.Hang = true }, func(f *box.Faults) { f.Hang = false })
+	case "answer_lost":
+		each(func(f *box.Faults) { f.Lost = true }, func(f *box.Faults) { f.Lost = false })
+	case "report_late":
+		each(func(f *box.Faults) { f.LateMs = t.Size * 1000 }, func(f *box.Faults) { f.LateMs = 0 })
+	case "burst":
+		r.setRate(t.Size)
+		wait()
+		r.setRate(1)
+	case "drain":
+		for _, i := range on {
+			r.st.Lister.Drain(r.st.Boxes[i].Box.Public, true)
+		}
+		wait()
+		for _, i := range on {
+			r.st.Lister.Drain(r.st.Boxes[i].Box.Public, false)
+		}
+	case "crash", "cold_start", "vanish":
+		var wg sync.WaitGroup
+		for _, i := range on {
+			if !r.take(i, true) {
+				continue
+			}
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				defer r.take(i, false)
+				r.restartBox(t, r.st.Boxes[i])
+				r.set(i, func(f *box.Faults) { *f = box.Faults{} })
+			}()
+		}
+		wg.Wait()
+	case "balancer_crash":
+		for _, i := range on {
+			m := r.st.Directors[i]
+			r.st.Log.Mark(m.Name, "killed")
+			m.Proc.Kill()
+			m.Front.Refuse(true)
+			m.List.Reset()
+		}
+		wait()
+		for _, i := range on {
+			m := r.st.Directors[i]
+			if err := r.st.StartDirector(m, false); err != nil {
+				r.say("%s: %v", m.Name, err)
+				continue
+			}
+			r.st.Log.Mark(m.Name, "started")
+			m.Front.Refuse(false)
+		}
+	}
+}
+
+// restartBox takes a box down and starts it again cold. One that vanishes is stopped without a word, and its
+// machine does not even reset what stands.
+func (r *Run) restartBox(t Trouble, m *stage.Member) {
+	if t.Name == "vanish" {
+		r.st.Log.Mark(m.Name, "vanished")
+		m.Front.Set(tap.Faults{Stall: true})
+		m.Proc.Kill()
+		time.Sleep(seconds(t.LenS))
+		m.Front.Refuse(true)
+		m.Front.Set(tap.Faults{})
+	} else {
+		r.st.Log.Mark(m.Name, "killed")
+		m.Proc.Kill()
+		m.Front.Refuse(true)
+		time.Sleep(seconds(t.LenS))
+	}
+	if err := r.st.StartBox(m, true); err != nil {
+		r.say("%s: %v", m.Name, err)
+		return
+	}
+	r.st.Log.Mark(m.Name, "started")
+	p := m.Proc
+	go func() {
+		for p.Alive() {
+			time.Sleep(20 * time.Millisecond)
+		}
+		if strings.Contains(fmt.Sprint(p.Err), "exit status 9") {
+			r.st.Log.Mark(m.Name, "fell")
+		}
+	}()
+}
+
+func (r *Run) setRate(f float64) {
+	r.mu.Lock()
+	r.rate = f
+	r.mu.Unlock()
+}
+
+// viewers draws viewers until the script's end and lets them live on.
+func (r *Run) viewers(ctx context.Context, began time.Time, seed *rand.Rand) *sync.WaitGroup {
+	s, st := r.Script, r.st
+	rng := rand.New(rand.NewPCG(s.Seed, 13))
+	wg := &sync.WaitGroup{}
+	c := player.Client()
+	titles := st.Spec.Base.Titles
+	at, n := 0.0, 0
+	for {
+		r.mu.Lock()
+		rate := s.Rate * r.rate
+		r.mu.Unlock()
+		at += rng.ExpFloat64() / rate
+		if at >= s.Seconds {
+			return wg
+		}
+		time.Sleep(time.Until(began.Add(seconds(at))))
+		t := &titles[int(float64(len(titles))*math.Pow(rng.Float64(), 1.5))] // some are wanted far more than others
+		k := &st.Spec.Base.Classes[st.Spec.Base.ClassNumber(t.Class)]
+		n++
+		viewer, top := fmt.Sprintf("v%d", n), len(st.Spec.Base.Ladder.RateKB)-1
+		if rng.Float64() < 0.2 {
+			top--
+		}
+		brand := "hanbit-mobile"
+		if rng.Float64() < 0.3 {
+			brand = "dasol-talk"
+		}
+		tries := 0
+		w := player.Wish{Title: t.Name, Class: t.Class, Paid: k.Repeat == "once", GiveUp: time.Duration(k.GiveUpMs) * time.Millisecond,
+			Length: time.Duration(t.DurationMs) * time.Millisecond, Seed: rng.Uint64(), Double: rng.Float64() < s.Double,
+			Token: func() string {
+				tries++
+				now := time.Now()
+				raw, err := st.Key.Mint(token.Claims{Title: t.Name, Class: t.Class, Brand: brand, Top: top,
+					RegisteredClaims: jwt.RegisteredClaims{Subject: viewer, ID: fmt.Sprintf("%s-%d", viewer, tries),
+						IssuedAt: jwt.NewNumericDate(now), ExpiresAt: jwt.NewNumericDate(now.Add(10 * time.Minute))}})
+				if err != nil {
+					panic(err)
+				}
+				return raw
+			},
+			Director: func(g *rand.Rand) string { return st.Directors[g.IntN(len(st.Directors))].URL }}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			player.Watch(ctx, c, w, &r.Stats)
+		}()
+	}
+}
+
+// Terms is what the auditor is told of the fleet: the terms of service, not what any director thinks.
+func Terms(st *stage.Stage) audit.Terms {
+	b, x := &st.Spec.Base, &st.Spec.Box
+	t := audit.Terms{Classes: map[string]audit.Class{}, Titles: map[string]audit.Title{}, Boxes: map[string]string{},
+		Worth: b.Ladder.Worth, SlackMs: 40, GraceMs: 250, Places: float64(x.Places), WarmMs: x.WarmMs,
+		ColdFrom: x.ColdFrom, Factor: x.Factor, TipMs: x.TipMs, Shortfall: 6}
+	for _, k := range b.Classes {
+		t.Classes[k.Name] = audit.Class{Once: k.Repeat == "once", AimMs: k.AimMs, GiveUpMs: k.GiveUpMs, Value: k.Value,
+			Floor: k.Floor, Seats: k.Seats}
+	}
+	for _, v := range b.Titles {
+		t.Titles[v.Name] = audit.Title{Class: v.Class, DurationMs: v.DurationMs}
+	}
+	for _, m := range st.Boxes {
+		t.Boxes[m.Box.Public] = m.Name
+	}
+	return t
+}
+
+// cpuMs is the processor time of a process (proc(5), stat: utime and stime in ticks of 10 ms).
+func cpuMs(pid int) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	f := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	if len(f) < 13 {
+		return 0
+	}
+	u, _ := strconv.ParseFloat(f[11], 64)
+	s, _ := strconv.ParseFloat(f[12], 64)
+	return (u + s) * 10
+}
--- /dev/null
+++ b/internal/standin/rehearse/script.go
@@ -0,0 +1,191 @@
+// Package rehearse plays a scripted bad day against real directors: it draws
+// viewers, injects the script's troubles into boxes, relays and processes, and
+// hands what the relays saw to the auditor.
+package rehearse
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Script is a bad day. Troubles bear the names and columns under which operators record them.
+type Script struct {
+	Seconds   float64   `toml:"seconds"`
+	Rate      float64   `toml:"rate"` // new viewers a second
+	Directors int       `toml:"directors"`
+	Boxes     int       `toml:"boxes"`
+	Titles    int       `toml:"titles"`
+	LifeS     float64   `toml:"life_s"`
+	Seed      uint64    `toml:"seed"`
+	Double    float64   `toml:"double"` // share of viewers that ask twice at the same moment
+	Troubles  []Trouble `toml:"trouble"`
+}
+
+// Trouble is one thing that goes wrong.
+type Trouble struct {
+	Name  string  `toml:"name"`
+	AtS   float64 `toml:"at_s"`
+	LenS  float64 `toml:"len_s"`
+	Part  float64 `toml:"part"` // share of boxes or directors; at least one
+	Size  float64 `toml:"size"`
+	Extra float64 `toml:"extra"`
+	On    []int   `toml:"on"` // these, in place of a draw
+}
+
+// played are the troubles that this version can play, and whether they fall on directors.
+var played = map[string]bool{"crash": false, "vanish": false, "hang": false, "fast_errors": false, "slow": false,
+	"answer_lost": false, "report_late": false, "burst": false, "balancer_crash": true, "drain": false,
+	"cold_start": false}
+
+// later are recorded troubles that the form holds and this version does not play yet.
+var later = []string{"neighbour", "hot_key", "zone_cut", "balancer_roll", "origin_slow", "report_gap", "shared_slow"}
+
+// BuiltIn is the day that rehearse plays without a script.
+const BuiltIn = `# A bad day of half a minute: every trouble that this version plays, some of them together.
+seconds = 30
+rate = 30
+directors = 2
+boxes = 8
+titles = 9
+life_s = 9
+seed = 1
+double = 0.03
+
+[[trouble]]
+name = "slow"
+at_s = 3
+len_s = 5
+part = 0.2
+size = 2.5
+
+[[trouble]]
+name = "report_late"
+at_s = 4
+len_s = 8
+size = 1.5
+
+[[trouble]]
+name = "crash"
+at_s = 6
+len_s = 5
+part = 0.13
+
+[[trouble]]
+name = "fast_errors"
+at_s = 8
+len_s = 4
+part = 0.13
+size = 0.6
+
+[[trouble]]
+name = "drain"
+at_s = 10
+len_s = 6
+part = 0.13
+
+[[trouble]]
+name = "hang"
+at_s = 12
+len_s = 4
+part = 0.13
+
+[[trouble]]
+name = "answer_lost"
+at_s = 14
+len_s = 3
+part = 0.13
+
+[[trouble]]
+name = "balancer_crash"
+at_s = 16
+len_s = 3
+part = 0.5
+
+[[trouble]]
+name = "burst"
+at_s = 20
+len_s = 4
+size = 1.8
+extra = 0.5
+
+[[trouble]]
+name = "vanish"
+at_s = 21
+len_s = 5
+part = 0.13
+
+[[trouble]]
+name = "cold_start"
+at_s = 22
+len_s = 1
+part = 0.13
+`
+
+// Parse reads a script; what it leaves out is as in the built-in day, but for the troubles.
+func Parse(text string) (*Script, error) {
+	s := Script{Seconds: 30, Rate: 30, Directors: 2, Boxes: 8, Titles: 9, LifeS: 9, Seed: 1}
+	dec := toml.NewDecoder(bytes.NewReader([]byte(text))).DisallowUnknownFields()
+	if err := dec.Decode(&s); err != nil {
+		var strict *toml.StrictMissingError
+		var de *toml.DecodeError
+		switch {
+		case errors.As(err, &strict):
+			return nil, fmt.Errorf("script: unknown keys:\n%s", strict.String())
+		case errors.As(err, &de):
+			row, _ := de.Position()
+			return nil, fmt.Errorf("script: line %d: %s", row, de.Error())
+		}
+		return nil, fmt.Errorf("script: %w", err)
+	}
+	if s.Seconds <= 0 || s.Rate <= 0 || s.Directors < 1 || s.Boxes < 3 || s.Titles < 1 || s.LifeS <= 0 {
+		return nil, errors.New("script: seconds, rate, titles, life_s must be positive, directors 1 and boxes 3 at least")
+	}
+	for i, t := range s.Troubles {
+		if _, ok := played[t.Name]; !ok {
+			if slices.Contains(later, t.Name) {
+				return nil, fmt.Errorf("script: trouble %d: %q is known and not played by this version", i+1, t.Name)
+			}
+			return nil, fmt.Errorf("script: trouble %d: no trouble is called %q", i+1, t.Name)
+		}
+		if t.AtS < 0 || t.LenS <= 0 || t.Part < 0 || t.Part > 1 {
+			return nil, fmt.Errorf("script: trouble %d (%s): at_s 0 or more, len_s over 0, part 0 to 1", i+1, t.Name)
+		}
+		if slices.Contains([]string{"slow", "fast_errors", "report_late", "burst"}, t.Name) && t.Size <= 0 {
+			return nil, fmt.Errorf("script: trouble %d (%s) needs a size", i+1, t.Name)
+		}
+		most := s.Boxes
+		if played[t.Name] {
+			most = s.Directors
+		}
+		for _, n := range t.On {
+			if n < 0 || n >= most {
+				return nil, fmt.Errorf("script: trouble %d (%s): on has %d, there are %d", i+1, t.Name, n, most)
+			}
+		}
+	}
+	return &s, nil
+}
+
+func (s *Script) String() string {
+	var names []string
+	for _, t := range s.Troubles {
+		names = append(names, t.Name)
+	}
+	return fmt.Sprintf("%.0f s, %.0f viewers/s, %d directors, %d boxes, seed %d: %s", s.Seconds, s.Rate, s.Directors,
+		s.Boxes, s.Seed, strings.Join(names, ", "))
+}
+
+// Cut makes the day shorter or longer. Troubles that would begin after its end are left out, and none goes on
+// past it.
+func (s *Script) Cut(seconds float64) {
+	s.Seconds = seconds
+	s.Troubles = slices.DeleteFunc(s.Troubles, func(t Trouble) bool { return t.AtS >= seconds })
+	for i := range s.Troubles {
+		s.Troubles[i].LenS = min(s.Troubles[i].LenS, seconds-s.Troubles[i].AtS)
+	}
+}
--- a/internal/standin/stage/small.go
+++ b/internal/standin/stage/small.go
@@ -18,7 +18,7 @@
 		{Name: "plan-guide", AimMs: 1500, GiveUpMs: 5000, Repeat: "repeatable", Value: 1, Scale: 1, Top: 3},
 	}
 	racks := max(boxes/4, 1)
-	const link, places = 800.0, 60
+	const link, places = 1500.0, 60
 	uplink := link * float64(boxes) / float64(racks) * 0.75
 	s.Fleet = config.Fleet{Cells: boxes, Racks: racks, Places: []int{places}, AllLinksKB: link * float64(boxes),
 		UplinkKB: uplink, TellMs: 2000, ToldLateMs: 600, WarmWithinMs: 6000, ColdFrom: 0.4}
--- a/internal/standin/tap/tap.go
+++ b/internal/standin/tap/tap.go
@@ -217,54 +217,71 @@
 }
 
 // pump carries one direction. What it records as Forth has been read from the side that connected; as Back,
-// has been handed to it.
+// has been handed to it. Reading goes on during a stall, so that the end of a side is seen when it happens.
 func (t *Tap) pump(id int, from, to net.Conn, dir Kind, passed *atomic.Int64) {
 	end := ForthEnd
 	if dir == Back {
 		end = BackEnd
 	}
-	buf := make([]byte, 32<<10)
-	for {
-		n, err := from.Read(buf)
-		if n > 0 {
-			f, gate := t.state()
-			for f.Stall || f.StallBack && dir == Back {
-				<-gate
-				f, gate = t.state()
-			}
-			if f.DelayMs > 0 {
-				time.Sleep(time.Duration(f.DelayMs * float64(time.Millisecond)))
-			}
-			part := buf[:n]
-			total := passed.Add(int64(n))
-			cut := false
-			if dir == Forth && f.CutAfter > 0 && total >= int64(f.CutAfter) {
-				part, cut = part[:max(n-int(total)+f.CutAfter, 0)], true
-			}
-			if dir == Back && f.HalfBack > 0 && total >= int64(f.HalfBack) {
-				part, cut = part[:max(n-int(total)+f.HalfBack, 0)], true
-			}
-			if !t.quiet && len(part) > 0 {
-				t.log.add(Record{Kind: dir, Tap: t.Name, Conn: id, Data: append([]byte(nil), part...)})
+	parts := make(chan []byte, 1024)
+	go func() {
+		defer close(parts)
+		for {
+			buf := make([]byte, 16<<10)
+			n, err := from.Read(buf)
+			if n > 0 {
+				if dir == Forth && !t.quiet {
+					t.log.add(Record{Kind: dir, Tap: t.Name, Conn: id, Data: buf[:n]})
+				}
+				parts <- buf[:n]
 			}
-			if _, werr := to.Write(part); werr != nil {
-				err = werr
-			}
-			if cut {
-				t.log.add(Record{Kind: end, Tap: t.Name, Conn: id})
-				reset(from)
-				reset(to)
+			if err != nil {
+				if dir == Forth {
+					t.log.add(Record{Kind: end, Tap: t.Name, Conn: id})
+				}
 				return
 			}
 		}
-		if err != nil {
-			for f, gate := t.state(); f.Stall; f, gate = t.state() { // a silent machine does not tell its end either
-				<-gate
-			}
-			t.log.add(Record{Kind: end, Tap: t.Name, Conn: id})
-			to.Close()
-			from.Close()
-			return
+	}()
+	broken := false
+	for part := range parts {
+		if broken {
+			continue
+		}
+		f, gate := t.state()
+		for f.Stall || f.StallBack && dir == Back {
+			<-gate
+			f, gate = t.state()
 		}
+		if f.DelayMs > 0 {
+			time.Sleep(time.Duration(f.DelayMs * float64(time.Millisecond)))
+		}
+		before := int(passed.Load())
+		passed.Add(int64(len(part)))
+		limit := f.CutAfter
+		if dir == Back {
+			limit = f.HalfBack
+		}
+		cut := limit > 0 && before+len(part) >= limit
+		if cut {
+			part = part[:max(limit-before, 0)]
+		}
+		if dir == Back && !t.quiet && len(part) > 0 {
+			t.log.add(Record{Kind: dir, Tap: t.Name, Conn: id, Data: part})
+		}
+		_, err := to.Write(part)
+		if cut {
+			reset(to)
+			reset(from)
+		}
+		broken = cut || err != nil
+	}
+	for f, gate := t.state(); f.Stall; f, gate = t.state() { // a silent machine does not tell its end either
+		<-gate
+	}
+	if dir == Back {
+		t.log.add(Record{Kind: end, Tap: t.Name, Conn: id})
 	}
+	to.Close()
+	from.Close()
 }
