--- a/decide/boxes/boxes.go
+++ b/decide/boxes/boxes.go
@@ -10,7 +10,7 @@
 //	Opening  a stream was asked for
 //	Up       the box has said hello; every byte proves that it lives
 //	Broken   the stream ended or went silent; sessions are kept while it is tried again
-//	Lost     not heard for LostMs: its sessions were given up
+//	Lost     not heard for LostMs, or refused again and again: its sessions were given up
 package boxes
 
 import (
@@ -35,7 +35,7 @@
 	Gone                    // Box, Session: it ended, or its set-up failed
 	Hello                   // Box, Boot, Sessions: the stream stands, and what the box runs for this director
 	Heard                   // Box: bytes on the stream
-	Broke                   // Box: the stream ended, or could not be opened
+	Broke                   // Box, Refused: the stream ended, or could not be opened
 	Tick
 )
 
@@ -46,6 +46,7 @@
 	Session  Session
 	Boot     string
 	Sessions []Session
+	Refused  bool // the box's machine says that nobody listens there
 }
 
 // ActionKind tells which fields of an Action are set.
@@ -57,7 +58,7 @@
 	Shut                     // Box: close it
 	Lose                     // Box, Session: the session is lost
 	Orphan                   // Box, Session: the box runs it for this director, which doesn't know it: end it
-	Down                     // Box: for the log; its sessions are being given up
+	Down                     // Box, Count: for the log; so many sessions are being given up
 )
 
 // Action is one thing to do.
@@ -65,6 +66,7 @@
 	Kind    ActionKind
 	Box     Box
 	Session Session
+	Count   int
 }
 
 // Config has the times, in ms.
@@ -103,6 +105,7 @@
 	heard    float64             // last proof of life
 	retry    float64             // when to open again
 	pause    float64
+	refusals int     // tries refused in a row: the process is gone, and with it what it ran
 	empty    float64 // since when no session is there
 }
 
@@ -115,6 +118,10 @@
 	order []*box
 }
 
+// deadAfter is how many refused tries in a row mean that no process listens there any more. One may be a
+// listener that is just being replaced.
+const deadAfter = 2
+
 // New makes an empty watch.
 func New(cfg Config) *Watch { return &Watch{cfg: cfg, boxes: map[Box]*box{}} }
 
@@ -163,7 +170,7 @@
 	switch ev.Kind {
 	case Expect:
 		x.expected[ev.Session] = true
-		if x.state == Idle {
+		if x.state == Idle || x.state == Lost { // lost: the module sends there again, so it may be back
 			w.open(x)
 		}
 	case Placed: // its answer is a proof of life as good as a note
@@ -189,6 +196,10 @@
 		}
 	case Broke:
 		if x.state == Opening || x.state == Up {
+			x.refusals++
+			if !ev.Refused {
+				x.refusals = 0
+			}
 			w.broke(x)
 		}
 	}
@@ -198,7 +209,7 @@
 
 func (w *Watch) open(x *box) {
 	if x.state == Idle || x.state == Lost {
-		x.heard, x.pause = w.now, 0
+		x.heard, x.pause, x.refusals = w.now, 0, 0
 	}
 	x.state, x.asked = Opening, w.now
 	w.out = append(w.out, Action{Kind: Open, Box: x.id})
@@ -207,7 +218,7 @@
 // hello sets what the box runs against what this director believes. Only sessions placed before the stream
 // was asked for can be missed: the box may have written its list before a younger one was set up.
 func (w *Watch) hello(x *box, ev *Event) {
-	x.state, x.heard, x.pause, x.boot = Up, w.now, 0, ev.Boot
+	x.state, x.heard, x.pause, x.boot, x.refusals = Up, w.now, 0, ev.Boot, 0
 	there := make(map[Session]bool, len(ev.Sessions))
 	for _, s := range ev.Sessions {
 		there[s] = true
@@ -265,8 +276,9 @@
 				x.state = Idle
 			}
 		}
-		if (x.state == Broken || x.state == Opening) && len(x.placed) > 0 && w.now-x.heard > w.cfg.LostMs {
-			w.out = append(w.out, Action{Kind: Down, Box: x.id})
+		dead := w.now-x.heard > w.cfg.LostMs || x.refusals >= deadAfter
+		if (x.state == Broken || x.state == Opening) && len(x.placed) > 0 && dead {
+			w.out = append(w.out, Action{Kind: Down, Box: x.id, Count: len(x.placed)})
 			for _, s := range sorted(x.placed) {
 				w.lose(x, s)
 			}
--- /dev/null
+++ b/decide/fleet/fleet_test.go
@@ -0,0 +1,110 @@
+package fleet
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"headmill"
+)
+
+func e(addr, state, boot string, up float64) Entry {
+	return Entry{Addr: addr, State: state, Boot: boot, UpMs: up, Weight: 1}
+}
+
+func list() *List { return New(Config{MaxBoxes: 3, Cells: 4, Kinds: 2}) }
+
+func show(ev headmill.Event) string {
+	var out []string
+	for _, s := range ev.Servers {
+		out = append(out, fmt.Sprintf("%s/%d/%.0f", Format(s.ID), s.Health, s.UpSinceMs))
+	}
+	return strings.Join(out, " ")
+}
+
+func TestOrderOfMessages(t *testing.T) {
+	l := list()
+	for i, c := range []struct {
+		m    Message
+		v    Verdict
+		want string
+	}{
+		{Message{Epoch: "a", Version: 5, Entries: []Entry{e("127.0.0.1:1", "ready", "x", 0)}}, Gap, ""}, // a change to nothing
+		{Message{Epoch: "a", Version: 5, Full: true, Entries: []Entry{e("127.0.0.1:1", "ready", "x", 0),
+			e("127.0.0.1:2", "ready", "y", 40)}}, Taken, "127.0.0.1:1/0/0 127.0.0.1:2/0/60"},
+		{Message{Epoch: "a", Version: 5, Entries: []Entry{e("127.0.0.1:1", "draining", "x", 0)}}, Stale, ""},
+		{Message{Epoch: "a", Version: 4, Full: true}, Stale, ""},
+		{Message{Epoch: "a", Version: 7, Entries: []Entry{e("127.0.0.1:1", "draining", "x", 0)}}, Gap, ""},
+		{Message{Epoch: "a", Version: 6, Entries: []Entry{e("127.0.0.1:1", "draining", "x", 0)}}, Taken, "127.0.0.1:1/2/0"},
+		{Message{Epoch: "a", Version: 7, Entries: []Entry{e("127.0.0.1:2", "gone", "y", 41)}}, Taken, "127.0.0.1:2/1/60"},
+		{Message{Epoch: "b", Version: 1, Entries: []Entry{e("127.0.0.1:2", "ready", "z", 1)}}, Gap, ""}, // another count
+		{Message{Epoch: "b", Version: 1, Full: true, Entries: []Entry{e("127.0.0.1:3", "ready", "z", 1)}}, Taken, "127.0.0.1:3/0/99"},
+	} {
+		ev, v, err := l.Take(100, &c.m)
+		if v != c.v || err != nil || show(ev) != c.want {
+			t.Fatalf("message %d: %s %v %q, want %s %q", i, v, err, show(ev), c.v, c.want)
+		}
+		if v == Taken && ev.Delta == c.m.Full {
+			t.Fatalf("message %d: delta is %v", i, ev.Delta)
+		}
+	}
+	if l.Len() != 1 {
+		t.Fatalf("%d boxes", l.Len())
+	}
+}
+
+// Told ages wander by the lateness of messages. A wandering start would be taken for a restart, and a warm box
+// for a cold one.
+func TestAStartIsKeptWhileTheBootIs(t *testing.T) {
+	l := list()
+	full := func(at, up float64, boot string, v uint64) headmill.Server {
+		ev, verdict, err := l.Take(at, &Message{Epoch: "a", Version: v, Full: true, Entries: []Entry{e("127.0.0.1:1", "ready", boot, up)}})
+		if verdict != Taken || err != nil {
+			t.Fatal(verdict, err)
+		}
+		return ev.Servers[0]
+	}
+	first := full(1000, 500, "x", 1)
+	if again := full(2000, 1490, "x", 2); again.UpSinceMs != first.UpSinceMs {
+		t.Fatalf("start moved from %v to %v", first.UpSinceMs, again.UpSinceMs)
+	}
+	if next := full(3000, 10, "y", 3); next.UpSinceMs != 2990 {
+		t.Fatalf("a restart is not seen: %v", next.UpSinceMs)
+	}
+	if old := full(3000, 99999, "z", 4); !(old.UpSinceMs > 0) {
+		t.Fatalf("a start before this director's own looks like long ago: %v", old.UpSinceMs)
+	}
+}
+
+func TestBadListsLeaveTheOldOneInForce(t *testing.T) {
+	l := list()
+	l.Take(0, &Message{Epoch: "a", Version: 1, Full: true, Entries: []Entry{e("127.0.0.1:1", "ready", "x", 0)}})
+	good := e("127.0.0.1:2", "ready", "x", 0)
+	for name, entries := range map[string][]Entry{
+		"state":   {good, e("127.0.0.1:3", "asleep", "x", 0)},
+		"address": {good, e("box7", "ready", "x", 0)},
+		"port":    {good, e("127.0.0.1:0", "ready", "x", 0)},
+		"twice":   {good, good},
+		"cell":    {{Addr: "127.0.0.1:3", State: "ready", Cell: 4}},
+		"kind":    {{Addr: "127.0.0.1:3", State: "ready", Kind: 2}},
+		"age":     {e("127.0.0.1:3", "ready", "x", -1)},
+		"cap":     {good, e("127.0.0.1:3", "ready", "x", 0), e("127.0.0.1:4", "ready", "x", 0), e("127.0.0.1:5", "ready", "x", 0)},
+	} {
+		ev, v, err := l.Take(1, &Message{Epoch: "a", Version: 2, Full: true, Entries: entries})
+		if v != Bad || err == nil || len(ev.Servers) != 0 {
+			t.Errorf("%s: %s, %v", name, v, err)
+		}
+	}
+	if l.Len() != 1 || l.Version() != 1 {
+		t.Fatalf("the old list is gone: %d boxes, version %d", l.Len(), l.Version())
+	}
+}
+
+func TestNumbersAndAddresses(t *testing.T) {
+	for _, a := range []string{"127.0.0.1:1", "127.9.8.7:65535", "10.0.0.1:80"} {
+		id, err := ID(a)
+		if err != nil || Format(id) != a {
+			t.Errorf("%s is %d is %s, %v", a, id, Format(id), err)
+		}
+	}
+}
--- /dev/null
+++ b/decide/once/once_test.go
@@ -0,0 +1,325 @@
+package once
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// The same cases each time: a verdict must not depend on the day.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	flag.Set("rapid.seed", "11")
+	flag.Set("rapid.checks", "2000")
+	os.Exit(m.Run())
+}
+
+func ledger() *Ledger {
+	return New(Config{Me: 0, MaxEntries: 100, MaxWaiters: 3, HoldMs: 1000, RetryMs: 500, UnprovenMs: 2000,
+		FirstStart: true, SweepEachMs: 1})
+}
+
+func ask(w Waiter, s Session, paid bool) Event {
+	return Event{Kind: Ask, Waiter: w, Key: "j", Print: 1, Paid: paid, AgeMs: 10, LeftMs: 60000, Session: s}
+}
+
+func text(acts []Action) string {
+	out := ""
+	names := [...]string{"begin", "play", "refuse", "fail", "elsewhere", "withdraw", "adopt", "end", "forget"}
+	for _, a := range acts {
+		out += names[a.Kind]
+		switch a.Kind {
+		case Play:
+			out += fmt.Sprintf(" w%d s%d", a.Waiter, a.Session)
+		case Refuse, Fail:
+			out += fmt.Sprintf(" w%d %s", a.Waiter, a.Reason)
+		case Elsewhere:
+			out += fmt.Sprintf(" w%d d%d", a.Waiter, a.Home)
+		default:
+			out += fmt.Sprintf(" s%d", a.Session)
+		}
+		out += "; "
+	}
+	return out
+}
+
+type step struct {
+	at   float64
+	ev   Event
+	want string
+}
+
+func run(t *testing.T, name string, l *Ledger, steps []step) {
+	t.Helper()
+	for i, s := range steps {
+		if got := text(l.Step(s.at, []Event{s.ev}, nil)); got != s.want {
+			t.Fatalf("%s, step %d: got %q, want %q", name, i, got, s.want)
+		}
+	}
+}
+
+// What a viewer that comes again with the same token gets, state by state, for a paid and another class.
+func TestComingAgain(t *testing.T) {
+	for _, paid := range []bool{true, false} {
+		name := fmt.Sprintf("paid=%v", paid)
+		pick := func(yes, no string) string {
+			if paid {
+				return yes
+			}
+			return no
+		}
+		run(t, name+" while it is out", ledger(), []step{
+			{0, ask(1, 1, paid), "begin s1; "}, {1, ask(2, 2, paid), ""},
+			{2, Event{Kind: Plays, Session: 1}, "play w1 s1; play w2 s1; "},
+			{3, ask(3, 3, paid), "play w3 s1; "}})
+		run(t, name+" after it failed unknowably", ledger(), []step{
+			{0, ask(1, 1, paid), "begin s1; "},
+			{1, Event{Kind: Failed, Session: 1, Why: ReasonTime}, "fail w1 time; " + pick("", "forget s1; ")},
+			{2, ask(2, 2, paid), pick("fail w2 time; ", "begin s2; ")}})
+		run(t, name+" after it was refused", ledger(), []step{
+			{0, ask(1, 1, paid), "begin s1; "},
+			{1, Event{Kind: Refused, Session: 1}, "refuse w1 refused; forget s1; "},
+			{2, ask(2, 2, paid), "begin s2; "}})
+		run(t, name+" after it has played and ended", ledger(), []step{
+			{0, ask(1, 1, paid), "begin s1; "}, {1, Event{Kind: Plays, Session: 1}, "play w1 s1; "},
+			{2, Event{Kind: Ended, Session: 1}, pick("", "forget s1; ")},
+			{3, ask(2, 2, paid), pick("fail w2 over; ", "begin s2; ")}})
+		run(t, name+" after it left while it was out", ledger(), []step{
+			{0, ask(1, 1, paid), "begin s1; "}, {1, Event{Kind: Left, Waiter: 1}, "withdraw s1; "},
+			{2, Event{Kind: Plays, Session: 1}, ""}, {3, ask(2, 2, paid), "play w2 s1; "}})
+		run(t, name+" never again: the session is ended", ledger(), []step{
+			{0, ask(1, 1, paid), "begin s1; "}, {1, Event{Kind: Left, Waiter: 1}, "withdraw s1; "},
+			{2, Event{Kind: Plays, Session: 1}, ""}, {900, Event{Kind: Tick}, ""},
+			{1003, Event{Kind: Tick}, "end s1; " + pick("", "forget s1; ")},
+			{1004, ask(2, 2, paid), pick("fail w2 over; ", "begin s2; ")}})
+	}
+}
+
+// A paid set-up that plays after its time is what the retry gets; nobody sets it up again.
+func TestLateAnswerOfAPaidSetUp(t *testing.T) {
+	run(t, "late", ledger(), []step{
+		{0, ask(1, 1, true), "begin s1; "}, {1, Event{Kind: Failed, Session: 1, Why: ReasonTime}, "fail w1 time; "},
+		{2, ask(2, 2, true), "fail w2 time; "}, {3, Event{Kind: Late, Session: 1}, ""},
+		{4, ask(3, 3, true), "adopt s1; play w3 s1; "}, {5, ask(4, 4, true), "play w4 s1; "}})
+	run(t, "late and never fetched", ledger(), []step{
+		{0, ask(1, 1, true), "begin s1; "}, {1, Event{Kind: Failed, Session: 1, Why: ReasonTime}, "fail w1 time; "},
+		{3, Event{Kind: Late, Session: 1}, ""}, {1100, Event{Kind: Tick}, "end s1; "},
+		{1101, ask(2, 2, true), "fail w2 over; "}})
+	run(t, "late word that it never ran", ledger(), []step{
+		{0, ask(1, 1, true), "begin s1; "}, {1, Event{Kind: Failed, Session: 1, Why: ReasonTime}, "fail w1 time; "},
+		{3, Event{Kind: Proven, Session: 1}, "forget s1; "}, {4, ask(2, 2, true), "begin s2; "}})
+}
+
+func TestCaps(t *testing.T) {
+	l := ledger()
+	run(t, "crowd", l, []step{{0, ask(1, 1, true), "begin s1; "}, {0, ask(2, 2, true), ""}, {0, ask(3, 3, true), ""},
+		{0, ask(4, 4, true), "fail w4 crowd; "}})
+	l = New(Config{MaxEntries: 2, MaxWaiters: 3, FirstStart: true, UnprovenMs: 10, SweepEachMs: 1})
+	for i, want := range []string{"begin s1; ", "begin s2; ", "refuse w3 full; "} {
+		ev := ask(Waiter(i+1), Session(i+1), true)
+		ev.Key, ev.LeftMs = fmt.Sprint(i), 100
+		run(t, "full", l, []step{{1, ev, want}})
+	}
+	// A paid entry makes room only once its token can't come again.
+	run(t, "over", l, []step{{2, Event{Kind: Plays, Session: 1}, "play w1 s1; "}, {3, Event{Kind: Ended, Session: 1}, ""}})
+	ev := ask(9, 9, true)
+	ev.Key = "new"
+	run(t, "still remembered", l, []step{{100, ev, "refuse w9 full; "}})
+	ev.Waiter, ev.Session = 10, 10
+	run(t, "forgotten", l, []step{{112, ev, "forget s1; begin s10; "}})
+}
+
+func TestTokensOfOthersAndOfEarlierRuns(t *testing.T) {
+	names := []string{"d0", "d1", "d2"}
+	l := New(Config{Me: 1, Directors: names, MaxEntries: 9, MaxWaiters: 3, SharedPaid: true, FirstStart: true})
+	seen := map[int]int{}
+	for i := range 300 {
+		ev := ask(Waiter(i+1), Session(i+1), true)
+		ev.Key = fmt.Sprint("k", i)
+		home := Home(ev.Key, names)
+		seen[home]++
+		if home != 1 {
+			run(t, "elsewhere", l, []step{{0, ev, fmt.Sprintf("elsewhere w%d d%d; ", i+1, home)}})
+		}
+	}
+	for d := range names {
+		if seen[d] < 60 {
+			t.Errorf("director %d is home of %d of 300 tokens", d, seen[d])
+		}
+	}
+	// A director that leaves moves its own tokens only.
+	for i := range 300 {
+		k := fmt.Sprint("k", i)
+		if h := Home(k, names); h < 2 && Home(k, names[:2]) != h {
+			t.Fatalf("token %s moved from %d without need", k, h)
+		}
+	}
+	if Home("x", nil) != -1 {
+		t.Error("a home without directors")
+	}
+	l = New(Config{MaxEntries: 9, MaxWaiters: 3, StartedMs: 1000, SkewMs: 50})
+	old := ask(1, 1, true)
+	old.AgeMs = 960 // at 2000 the director is 1000 old; with the skew the token may be older
+	free := ask(3, 3, false)
+	free.Key, free.AgeMs = "free", 5000
+	young := ask(4, 4, true)
+	young.Key, young.AgeMs = "young", 900
+	run(t, "earlier run", l, []step{{2000, old, "fail w1 earlier; "}, {2000, free, "begin s3; "}, {2000, young, "begin s4; "}})
+}
+
+func TestOneNameForTwoWishes(t *testing.T) {
+	other := ask(2, 2, true)
+	other.Print = 2
+	run(t, "reused", ledger(), []step{{0, ask(1, 1, true), "begin s1; "}, {1, other, "fail w2 reused; "}})
+}
+
+func TestStopping(t *testing.T) {
+	l := ledger()
+	run(t, "before", l, []step{{0, ask(1, 1, false), "begin s1; "}})
+	l.Stop()
+	other := ask(2, 2, false)
+	other.Key = "other"
+	run(t, "after", l, []step{{1, other, "refuse w2 stopping; "}, {2, ask(3, 3, false), ""},
+		{3, Event{Kind: Plays, Session: 1}, "play w1 s1; play w3 s1; "}})
+}
+
+// Whatever happens in whatever order: every request gets exactly one answer or leaves, a paid key is begun
+// again only after a proof, a refusal of a paid one only where nothing can have run, no key has two sessions
+// under way, and the tables empty themselves.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := New(Config{MaxEntries: 6, MaxWaiters: 3, HoldMs: 50, UnprovenMs: 20, FirstStart: true, SweepEachMs: 1})
+		now := 0.0
+		w, s := Waiter(0), Session(0)
+		open := map[Waiter]string{}     // asked and owed an answer
+		live := map[Session]string{}    // begun and not yet told about
+		ran := map[string]bool{}        // keys of which an attempt may have run
+		maybe := map[Session]string{}   // failed unknowably
+		playing := map[Session]string{} // at a box
+		under := map[string]int{}       // sessions under way by key
+		paid := func(k string) bool { return k[0] == 'p' }
+		do := func(ev Event) {
+			for _, a := range l.Step(now, []Event{ev}, nil) {
+				switch a.Kind {
+				case Begin:
+					k := open[a.Waiter]
+					if paid(k) && ran[k] {
+						t.Fatalf("paid %s begun again", k)
+					}
+					if under[k]++; under[k] > 1 {
+						t.Fatalf("%s has two sessions under way", k)
+					}
+					live[a.Session] = k
+				case Play, Refuse, Fail, Elsewhere:
+					k, ok := open[a.Waiter]
+					if !ok {
+						t.Fatalf("waiter %d answered twice or never asked", a.Waiter)
+					}
+					if a.Kind == Play && playing[a.Session] != k {
+						t.Fatalf("%s is shown session %d, which is not its own or does not play", k, a.Session)
+					}
+					if a.Kind == Refuse && paid(k) && ran[k] {
+						t.Fatalf("paid %s refused though it may have run", k)
+					}
+					delete(open, a.Waiter)
+				case End:
+					if k, ok := playing[a.Session]; ok {
+						delete(playing, a.Session)
+						under[k]--
+					}
+				}
+			}
+		}
+		one := func(m map[Session]string) (Session, string) {
+			keys := make([]int, 0, len(m))
+			for k := range m {
+				keys = append(keys, int(k))
+			}
+			if len(keys) == 0 {
+				return 0, ""
+			}
+			best := keys[0]
+			for _, k := range keys {
+				best = min(best, k)
+			}
+			return Session(best), m[Session(best)]
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += float64(rapid.IntRange(0, 30).Draw(t, "ms"))
+			switch rapid.IntRange(0, 8).Draw(t, "what") {
+			case 0, 1, 2:
+				w++
+				s++
+				k := rapid.SampledFrom([]string{"p1", "p2", "f1", "f2"}).Draw(t, "key")
+				open[w] = k
+				do(Event{Kind: Ask, Waiter: w, Key: k, Print: uint64(len(k)), Paid: paid(k), LeftMs: 1e6, Session: s})
+			case 3:
+				if id, k := one(live); id != 0 {
+					delete(live, id)
+					ran[k], playing[id] = true, k
+					do(Event{Kind: Plays, Session: id})
+				}
+			case 4:
+				if id, k := one(live); id != 0 {
+					delete(live, id)
+					under[k]--
+					do(Event{Kind: Refused, Session: id})
+				}
+			case 5:
+				if id, k := one(live); id != 0 {
+					delete(live, id)
+					ran[k], maybe[id] = true, k
+					under[k]--
+					do(Event{Kind: Failed, Session: id, Why: ReasonTime})
+				}
+			case 6:
+				if id, k := one(maybe); id != 0 && paid(k) {
+					delete(maybe, id)
+					if rapid.Bool().Draw(t, "late") {
+						playing[id] = k
+						under[k]++
+						do(Event{Kind: Late, Session: id})
+					} else {
+						ran[k] = false
+						do(Event{Kind: Proven, Session: id})
+					}
+				}
+			case 7:
+				if id, k := one(playing); id != 0 {
+					delete(playing, id)
+					under[k]--
+					do(Event{Kind: Ended, Session: id})
+				}
+			case 8:
+				least := w + 1
+				for q := range open {
+					least = min(least, q)
+				}
+				if least <= w && rapid.Bool().Draw(t, "leaves") {
+					delete(open, least)
+					do(Event{Kind: Left, Waiter: least})
+				}
+			}
+			do(Event{Kind: Tick})
+		}
+		for id := range live {
+			do(Event{Kind: Refused, Session: id})
+		}
+		if len(open) != 0 || l.Waiting() != 0 {
+			t.Fatalf("%d requests were never answered; the ledger has %d", len(open), l.Waiting())
+		}
+		now += 2e6
+		for id := range playing {
+			do(Event{Kind: Ended, Session: id})
+		}
+		do(Event{Kind: Tick})
+		now += 100
+		do(Event{Kind: Tick})
+		if l.Entries() != 0 || len(l.bySession) != 0 {
+			t.Fatalf("%d entries and %d sessions are left for ever", l.Entries(), len(l.bySession))
+		}
+	})
+}
--- a/internal/director/notes.go
+++ b/internal/director/notes.go
@@ -73,13 +73,14 @@
 }
 
 // Closed tells decide/boxes, but for a stream that was shut on its word.
-func (n *notes) Closed(*loop.Conn, error) {
+func (n *notes) Closed(_ *loop.Conn, err error) {
 	n.b.conns--
 	if n.shut {
 		return
 	}
 	n.b.notes = nil
-	n.b.d.watchIn = append(n.b.d.watchIn, boxes.Event{Kind: boxes.Broke, Box: boxes.Box(n.b.id)})
+	n.b.d.watchIn = append(n.b.d.watchIn, boxes.Event{Kind: boxes.Broke, Box: boxes.Box(n.b.id),
+		Refused: loop.Refused(err)})
 }
 
 type note struct {
@@ -158,6 +159,8 @@
 	u     *upstream
 	timer *loop.Timer
 	tries int
+	said  float64 // time of the last log line; one a few seconds is enough about a box in trouble
+	lost  int     // commands not taken since then
 }
 
 // tellRung tells the box the rung in force; one that has not left yet is replaced.
@@ -194,6 +197,17 @@
 	q.next()
 }
 
+// drop forgets rung changes that wait for a box whose sessions were given up. Ends stay: it may come back.
+func (q *commands) drop() {
+	keep := q.queue[:0]
+	for i, c := range q.queue {
+		if c.method != "PATCH" || i == 0 && q.busy {
+			keep = append(keep, c)
+		}
+	}
+	q.queue = keep
+}
+
 func (q *commands) next() {
 	if q.busy || len(q.queue) == 0 {
 		return
@@ -269,7 +283,11 @@
 		c.done(ok)
 	}
 	if !ok {
-		q.b.d.log.Warn("box did not take a command", "box", q.b.addr, "method", c.method, "path", c.path)
+		q.lost++
+		if now := q.b.d.l.Now(); q.said == 0 || now-q.said > 2000 {
+			q.b.d.log.Warn("box did not take commands", "box", q.b.addr, "method", c.method, "path", c.path, "lost", q.lost)
+			q.said, q.lost = now, 0
+		}
 	}
 	q.next()
 }
--- a/internal/director/path.go
+++ b/internal/director/path.go
@@ -182,7 +182,8 @@
 	case boxes.Shut:
 		b.shutNotes()
 	case boxes.Down:
-		d.log.Warn("box is not heard; its sessions are given up", "box", b.addr, "sessions", d.watch.Sessions(a.Box))
+		b.cmds.drop()
+		d.log.Warn("box is not heard; its sessions are given up", "box", b.addr, "sessions", a.Count)
 	case boxes.Lose:
 		if s := d.sessions[once.Session(a.Session)]; s != nil && s.state == plays && s.server == b.id {
 			d.stats.Lost++
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -189,6 +189,9 @@
 	if c.state == closed {
 		return
 	}
+	if err != nil && len(c.out) > 0 { // cut, not ended: the kernel must not keep what the peer does not read
+		unix.SetsockoptLinger(c.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	}
 	c.state, c.cause, c.out = closed, err, nil
 	if c.l.slots[c.fd] == c {
 		delete(c.l.slots, c.fd)
@@ -263,6 +266,9 @@
 	}
 }
 
+// Refused tells whether err is the peer's machine saying that nobody listens there.
+func Refused(err error) bool { return errors.Is(err, unix.ECONNREFUSED) }
+
 // Reset tells whether err means that the peer broke the connection off.
 func Reset(err error) bool {
 	return errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.EPIPE) || errors.Is(err, io.ErrUnexpectedEOF)
--- a/internal/standin/lister/lister.go
+++ b/internal/standin/lister/lister.go
@@ -74,7 +74,7 @@
 	epoch   string
 	subs    map[chan string]bool
 	stop    chan struct{}
-	begun   time.Time
+	once    sync.Once
 }
 
 // Start begins to serve.
@@ -84,7 +84,7 @@
 		return nil, fmt.Errorf("lister: %w", err)
 	}
 	s := &Service{cfg: cfg, ln: ln, boxes: map[string]*entry{}, drains: map[string]bool{}, subs: map[chan string]bool{},
-		epoch: fmt.Sprint(time.Now().UnixNano()), stop: make(chan struct{}), begun: time.Now()}
+		epoch: fmt.Sprint(time.Now().UnixNano()), stop: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /beat", s.beat)
 	mux.HandleFunc("GET /list", s.list)
@@ -99,7 +99,7 @@
 
 // Close ends it.
 func (s *Service) Close() {
-	close(s.stop)
+	s.once.Do(func() { close(s.stop) })
 	s.srv.Close()
 }
 
