--- a/controller.go
+++ b/controller.go
@@ -125,7 +125,7 @@
 type session struct {
 	id                  SessionID
 	class               *Class
-	classNo             int
+	classNo, sort       int // sort: place in Controller.alike
 	title               uint64
 	home, n, top        int // first cell, cells, highest rung
 	deadline, endGuess  float64
@@ -139,6 +139,13 @@
 	changed, playedAt   float64 // last change of rung, start of play
 }
 
+// alike counts the sessions on servers that are alike to price: of one class and one highest rung.
+type alike struct {
+	class *Class
+	top   int
+	n     float64
+}
+
 type seatKey struct {
 	title uint64
 	class int
@@ -163,7 +170,8 @@
 	mean          float64    // link load of the servers lately heard
 	highest       float64    // price of a kB/s above any worth
 	scratch       []*server  // of holders
-	pool          []*session // of price and lower
+	pool          []*session // of lower
+	alike         []alike
 }
 
 // New makes the controller of one front. It owns all its state; seed is its only source of chance.
@@ -177,6 +185,11 @@
 	for _, k := range cfg.Classes {
 		c.highest = math.Max(c.highest, 2*k.Value*cfg.RungWorth[len(cfg.RungWorth)-1]/(cfg.RateKB[0]*k.Scale))
 	}
+	for i := range c.cfg.Classes {
+		for top := range cfg.RateKB {
+			c.alike = append(c.alike, alike{class: &c.cfg.Classes[i], top: top})
+		}
+	}
 	for range cfg.Racks {
 		c.racks = append(c.racks, &rack{up: gauge{cap: math.Max(cfg.UplinkKB, 1)}})
 	}
@@ -366,6 +379,7 @@
 	v.link.add(c.now, kb)
 	v.rack.up.add(c.now, kb)
 	c.seats[seatKey{s.title, s.classNo}]++
+	c.alike[s.sort].n++
 }
 
 func (c *Controller) detach(s *session) {
@@ -373,6 +387,7 @@
 	if i := slices.Index(v.sessions, s); i >= 0 {
 		v.sessions = slices.Delete(v.sessions, i, i+1)
 	}
+	c.alike[s.sort].n--
 	kb := c.rate(s.class, s.rung)
 	v.link.add(c.now, -kb)
 	v.rack.up.add(c.now, -kb)
@@ -404,6 +419,7 @@
 	s := &session{id: ev.Session, class: k, classNo: ev.Class, title: ev.Title,
 		home: ev.Home, n: ev.Copies, deadline: c.now + ev.RemainingMs,
 		top: min(ev.TopRung, k.Top, len(c.cfg.RateKB)-1)}
+	s.sort = min(ev.Class, len(c.cfg.Classes)-1)*len(c.cfg.RateKB) + max(s.top, 0)
 	if ev.HintMs > 0 {
 		s.endGuess = c.now + ev.HintMs
 	}
@@ -468,7 +484,7 @@
 func (c *Controller) place(s *session) {
 	holders := c.holders(s)
 	least := c.leastRung(s)
-	want := max(c.bestRung(s, c.price(holders, s)), least)
+	want := max(c.bestRung(s.class, s.top, c.price(holders, s)), least)
 	token := c.tokens[s.title]
 	if token == nil && len(holders) > 0 {
 		token = slices.MaxFunc(holders, func(a, b *server) int {
@@ -541,10 +557,10 @@
 }
 
 // bestRung is the rung with the most worth left after its rate is paid for at the price.
-func (c *Controller) bestRung(s *session, price float64) int {
-	best, most := s.class.Floor, math.Inf(-1)
-	for r := s.class.Floor; r <= s.top; r++ {
-		if v := c.worth(s, r) - price*c.rate(s.class, r); v > most {
+func (c *Controller) bestRung(k *Class, top int, price float64) int {
+	best, most := k.Floor, math.Inf(-1)
+	for r := k.Floor; r <= top; r++ {
+		if v := k.Value*c.cfg.RungWorth[r] - price*c.rate(k, r); v > most {
 			best, most = r, v
 		}
 	}
@@ -560,12 +576,10 @@
 // what they carry. The front's own sessions stand for those of all fronts, so that the price does not
 // depend on how many fronts there are. Departure from "the viewer's highest rung first".
 func (c *Controller) price(holders []*server, s *session) float64 {
-	c.pool = append(c.pool[:0], s)
 	mid := c.cfg.RateKB[len(c.cfg.RateKB)/2] * s.class.Scale
 	own, asked, room := mid, mid, 0.0
 	for _, v := range c.order {
 		own += v.link.own
-		c.pool = append(c.pool, v.sessions...)
 	}
 	for _, v := range holders {
 		asked += math.Max(c.linkLoad(v)*v.link.cap, v.link.own)
@@ -575,9 +589,11 @@
 	low, high := 0.0, c.highest
 	for range 20 {
 		p := (low + high) / 2
-		sum := 0.0
-		for _, o := range c.pool {
-			sum += c.rate(o.class, c.bestRung(o, p))
+		sum := c.rate(s.class, c.bestRung(s.class, s.top, p))
+		for i := range c.alike {
+			if a := &c.alike[i]; a.n > 0 { // by sort: a front of ten thousand decides as fast as one of ten
+				sum += a.n * c.rate(a.class, c.bestRung(a.class, a.top, p))
+			}
 		}
 		if sum > budget {
 			low = p
--- /dev/null
+++ b/internal/dash/mpd_test.go
@@ -0,0 +1,94 @@
+package dash
+
+import (
+	"encoding/xml"
+	"io"
+	"strings"
+	"testing"
+)
+
+func manifest() Manifest {
+	return Manifest{Base: "http://127.0.0.1:1/v/d0.1/", Token: "a.b-_c", DurationMs: 4500, SegmentMs: 2000,
+		Reps: []Representation{{"r1", 10, 640}, {"r2", 25.5, 1280}}}
+}
+
+func TestRoundTrip(t *testing.T) {
+	m := manifest()
+	p, err := Parse(m.Append(nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p.Base != m.Base || p.DurationMs != 4500 || p.SegmentMs != 2000 || len(p.Reps) != 2 || p.Reps[1] != (Representation{"r2", 25.5, 1280}) {
+		t.Fatalf("%+v", p)
+	}
+	if p.Segments() != 3 {
+		t.Errorf("%d segments of 2 s in 4.5 s", p.Segments())
+	}
+	if got := p.Media(1, 2); got != "http://127.0.0.1:1/v/d0.1/r2/3.m4s?token=a.b-_c" {
+		t.Errorf("media %s", got)
+	}
+	if got := p.Init(0); got != "http://127.0.0.1:1/v/d0.1/r1/init.mp4?token=a.b-_c" {
+		t.Errorf("init %s", got)
+	}
+}
+
+// Annex I of ISO/IEC 23009-1: a supplemental property, so that a player that does not know it plays on, with
+// the query in the namespace of the scheme.
+func TestURLParameters(t *testing.T) {
+	m := manifest()
+	text := string(m.Append(nil))
+	if !strings.Contains(text, `<SupplementalProperty schemeIdUri="urn:mpeg:dash:urlparam:2014">`) ||
+		!strings.Contains(text, `xmlns:up="urn:mpeg:dash:schema:urlparam:2014"`) ||
+		!strings.Contains(text, `<up:UrlQueryInfo queryTemplate="token=a.b-_c"/>`) {
+		t.Error(text)
+	}
+	if strings.Contains(text, "EssentialProperty") {
+		t.Error("a player that does not know Annex I would have to refuse this manifest")
+	}
+}
+
+// What comes from outside can't end an element or begin a template identifier of its own.
+func TestHostileText(t *testing.T) {
+	m := manifest()
+	m.Base, m.Token = `http://x/</BaseURL><a b="&`, "$Number$&\"<>"
+	text := m.Append(nil)
+	d := xml.NewDecoder(strings.NewReader(string(text)))
+	for {
+		if _, err := d.Token(); err == io.EOF {
+			break
+		} else if err != nil {
+			t.Fatalf("%v\n%s", err, text)
+		}
+	}
+	p, err := Parse(text)
+	if err != nil || p.Base != m.Base {
+		t.Fatalf("%v %q", err, p.Base)
+	}
+	if got := p.Media(0, 0); got != m.Base+"r1/1.m4s?token="+m.Token {
+		t.Errorf("media %s", got)
+	}
+}
+
+func TestParseErrors(t *testing.T) {
+	m := manifest()
+	good := string(m.Append(nil))
+	for name, text := range map[string]string{
+		"no XML":      "<MPD",
+		"not an MPD":  "<x/>",
+		"no template": strings.Replace(good, "SegmentTemplate", "SegmentList", 1),
+		"duration":    strings.Replace(good, `mediaPresentationDuration="PT4.5S"`, `mediaPresentationDuration="P1Y"`, 1),
+	} {
+		if _, err := Parse([]byte(text)); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+}
+
+func BenchmarkAppend(b *testing.B) {
+	m := manifest()
+	var buf []byte
+	b.ReportAllocs()
+	for b.Loop() {
+		buf = m.Append(buf[:0])
+	}
+}
--- /dev/null
+++ b/internal/loop/loop_test.go
@@ -0,0 +1,271 @@
+package loop
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// echo writes back what comes.
+type echo struct {
+	mu     sync.Mutex
+	closed []error
+	got    int
+	eat    bool // write nothing back
+	flood  int  // bytes to write at the first data
+}
+
+func (e *echo) Connected(*Conn) {}
+func (e *echo) Drained(*Conn)   {}
+func (e *echo) Data(c *Conn, b []byte) {
+	e.mu.Lock()
+	e.got += len(b)
+	e.mu.Unlock()
+	switch {
+	case e.flood > 0:
+		for n := 0; n < e.flood && c.Open(); n += 1 << 16 {
+			c.Write(make([]byte, 1<<16))
+		}
+	case !e.eat:
+		c.Write(b)
+	}
+}
+func (e *echo) Closed(_ *Conn, err error) {
+	e.mu.Lock()
+	e.closed = append(e.closed, err)
+	e.mu.Unlock()
+}
+
+func (e *echo) ends() []error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]error(nil), e.closed...)
+}
+
+func serve(t *testing.T, take func(*Conn) Handler) (*Loop, string) {
+	t.Helper()
+	l, err := New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := l.Listen("127.0.0.1:0", take)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- l.Run() }()
+	t.Cleanup(func() {
+		l.Stop()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return l, ln.Addr()
+}
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatal("not seen: " + what)
+}
+
+func TestEchoOfMuch(t *testing.T) {
+	e := &echo{}
+	_, addr := serve(t, func(*Conn) Handler { return e })
+	c, err := net.Dial("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	sent := bytes.Repeat([]byte("0123456789abcdef"), 1<<16)
+	go func() { c.Write(sent); c.(*net.TCPConn).SetWriteBuffer(1) }()
+	got := make([]byte, len(sent))
+	c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if _, err := io.ReadFull(c, got); err != nil || !bytes.Equal(got, sent) {
+		t.Fatalf("echo differs: %v", err)
+	}
+	c.Close()
+	until(t, "the end", func() bool { return len(e.ends()) == 1 })
+}
+
+func TestSlowReaderIsCut(t *testing.T) {
+	e := &echo{flood: 64 << 20}
+	_, addr := serve(t, func(c *Conn) Handler { c.SetLimit(1 << 20); return e })
+	c, err := net.Dial("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Write([]byte("x"))
+	until(t, "the cut", func() bool { return len(e.ends()) == 1 })
+	if err := e.ends()[0]; !errors.Is(err, ErrSlowReader) {
+		t.Fatalf("closed with %v", err)
+	}
+}
+
+func TestPauseHoldsBytesBack(t *testing.T) {
+	e := &echo{eat: true}
+	var conn *Conn
+	l, addr := serve(t, func(c *Conn) Handler { c.Pause(true); conn = c; return e })
+	c, err := net.Dial("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Write([]byte("hello"))
+	seen := make(chan bool, 1)
+	l.Post(func() { l.After(60, func() { seen <- e.got > 0 }) })
+	if <-seen {
+		t.Fatal("a paused connection was read")
+	}
+	l.Post(func() { conn.Pause(false) })
+	until(t, "the bytes", func() bool { e.mu.Lock(); defer e.mu.Unlock(); return e.got == 5 })
+}
+
+func TestTimersInOrder(t *testing.T) {
+	l, _ := serve(t, func(*Conn) Handler { return nil })
+	out := make(chan []int, 1)
+	l.Post(func() {
+		var got []int
+		now := l.Now()
+		cancelled := l.At(now+5, func() { got = append(got, 99) })
+		l.At(now+20, func() { got = append(got, 3); out <- got })
+		l.At(now+10, func() { got = append(got, 1) })
+		l.At(now+10, func() { got = append(got, 2); l.Cancel(cancelled); l.Cancel(nil) })
+		l.Cancel(cancelled)
+	})
+	if got := <-out; len(got) != 3 || got[0] != 1 || got[1] != 2 || got[2] != 3 {
+		t.Fatalf("timers fired as %v", got)
+	}
+}
+
+// dialled tells what becomes of a connection that the loop opens.
+type dialled struct {
+	stood  chan bool
+	closed chan error
+}
+
+func (d *dialled) Connected(*Conn)           { d.stood <- true }
+func (d *dialled) Drained(*Conn)             {}
+func (d *dialled) Data(*Conn, []byte)        {}
+func (d *dialled) Closed(_ *Conn, err error) { d.closed <- err }
+
+func TestDial(t *testing.T) {
+	l, addr := serve(t, func(*Conn) Handler { return &echo{} })
+	d := &dialled{make(chan bool, 1), make(chan error, 1)}
+	var c *Conn
+	l.Post(func() { c, _ = l.Dial(addr, d) })
+	<-d.stood
+	quiet := make(chan bool, 1)
+	l.Post(func() { quiet <- c.Quiet() && c.Written() == 0 })
+	if !<-quiet {
+		t.Error("a fresh connection is not quiet")
+	}
+	l.Post(func() { c.Close(nil); c.Close(ErrIdle) })
+	if err := <-d.closed; err != nil {
+		t.Errorf("closed with %v, the first word counts", err)
+	}
+	// Nobody listens.
+	ln, _ := net.Listen("tcp4", "127.0.0.1:0")
+	gone := ln.Addr().String()
+	ln.Close()
+	l.Post(func() { l.Dial(gone, d) })
+	if err := <-d.closed; !errors.Is(err, ErrConnect) || !Refused(err) {
+		t.Errorf("refused: %v", err)
+	}
+	for _, bad := range []string{"10.0.0.1:80", "x", "[::1]:80"} {
+		if _, err := l.Dial(bad, d); err == nil {
+			t.Errorf("%s is dialled; only 127.0.0.0/8 is", bad)
+		}
+	}
+	if _, err := l.Listen("0.0.0.0:0", nil); err == nil {
+		t.Error("listens beyond loopback")
+	}
+}
+
+// A peer's close that has reached the kernel is seen before anything is written.
+func TestQuietSeesThePeersClose(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	peer := make(chan net.Conn, 1)
+	go func() { c, _ := ln.Accept(); peer <- c }()
+	l, _ := serve(t, func(*Conn) Handler { return nil })
+	d := &dialled{make(chan bool, 1), make(chan error, 1)}
+	var c *Conn
+	l.Post(func() { c, _ = l.Dial(ln.Addr().String(), d) })
+	<-d.stood
+	was := make(chan bool, 1)
+	l.Post(func() { // within one call of the loop, so that no event of the close can have been handled
+		(<-peer).Close()
+		for end := time.Now().Add(5 * time.Second); c.Quiet() && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		was <- c.Quiet()
+	})
+	if <-was {
+		t.Fatal("a connection that the peer has closed passes for usable")
+	}
+	if err := <-d.closed; err != nil {
+		t.Errorf("an orderly end is told as %v", err)
+	}
+}
+
+func TestStopClosesAll(t *testing.T) {
+	e := &echo{}
+	l, err := New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := l.Listen("127.0.0.1:0", func(*Conn) Handler { return e })
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- l.Run() }()
+	c, err := net.Dial("tcp4", ln.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Write([]byte("x"))
+	c.Read(make([]byte, 1))
+	l.Stop()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	if ends := e.ends(); len(ends) != 1 || !errors.Is(ends[0], ErrStopped) {
+		t.Fatalf("%v", ends)
+	}
+	if _, err := net.Dial("tcp4", ln.Addr()); err == nil {
+		t.Fatal("still listening")
+	}
+}
+
+func BenchmarkEcho(b *testing.B) {
+	l, _ := New()
+	ln, _ := l.Listen("127.0.0.1:0", func(*Conn) Handler { return &echo{} })
+	go l.Run()
+	defer l.Stop()
+	c, err := net.Dial("tcp4", ln.Addr())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close()
+	buf := make([]byte, 256)
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Write(buf)
+		io.ReadFull(c, buf)
+	}
+}
--- a/internal/standin/stage/stage.go
+++ b/internal/standin/stage/stage.go
@@ -325,6 +325,20 @@
 	return fmt.Errorf("stage: %s does not know its boxes after 20 s", m.Name)
 }
 
+// WaitNoBoxes waits until a director knows that no box is left.
+func (st *Stage) WaitNoBoxes(m *Member) error {
+	c := &http.Client{Timeout: time.Second}
+	for until := time.Now().Add(20 * time.Second); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		if resp, err := c.Get("http://" + m.Proc.Addr + "/healthz"); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == 503 {
+				return nil
+			}
+		}
+	}
+	return fmt.Errorf("stage: %s still knows boxes after 20 s", m.Name)
+}
+
 // Fault switches a box's own faults.
 func (st *Stage) Fault(m *Member, f box.Faults) error {
 	if m.Proc == nil || !m.Proc.Alive() {
--- /dev/null
+++ b/internal/token/token_test.go
@@ -0,0 +1,180 @@
+package token
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/golang-jwt/jwt/v5"
+)
+
+func key(kid string, b byte) Key { return NewKey(kid, bytes.Repeat([]byte{b}, 32)) }
+
+func claims(at time.Time) Claims {
+	return Claims{Title: "t", Class: "c", Top: 3, RegisteredClaims: jwt.RegisteredClaims{Subject: "v", ID: "j",
+		IssuedAt: jwt.NewNumericDate(at), ExpiresAt: jwt.NewNumericDate(at.Add(time.Minute))}}
+}
+
+func TestCheck(t *testing.T) {
+	now := time.Now()
+	a, b := key("a", 1), key("b", 2)
+	raw, err := a.Mint(claims(now))
+	if err != nil {
+		t.Fatal(err)
+	}
+	byB, _ := b.Mint(claims(now))
+	swapped := raw[:strings.LastIndexByte(raw, '.')] + byB[strings.LastIndexByte(byB, '.'):]
+	none := jwt.NewWithClaims(jwt.SigningMethodNone, &Claims{})
+	none.Header["kid"] = "a"
+	plain, _ := none.SignedString(jwt.UnsafeAllowNoneSignatureType)
+	hmac := jwt.NewWithClaims(jwt.SigningMethodHS256, jwt.MapClaims{"jti": "j"})
+	hmac.Header["kid"] = "a"
+	mac, _ := hmac.SignedString([]byte(a.Public))
+	noJTI := jwt.NewWithClaims(jwt.SigningMethodEdDSA, jwt.MapClaims{"sub": "v", "title": "t", "class": "c", "exp": 9e9, "iat": 1})
+	noJTI.Header["kid"] = "a"
+	bare, _ := noJTI.SignedString(a.Private)
+	early := claims(now)
+	early.NotBefore = jwt.NewNumericDate(now.Add(time.Minute))
+	soon, _ := a.Mint(early)
+	future := claims(now.Add(time.Hour))
+	later, _ := a.Mint(future)
+	c := NewChecker([]Key{a}, 8, time.Second)
+	for name, x := range map[string]struct {
+		raw string
+		at  time.Time
+		err error
+	}{
+		"good":               {raw, now, nil},
+		"within the leeway":  {raw, now.Add(time.Minute + 900*time.Millisecond), nil},
+		"expired":            {raw, now.Add(time.Minute + time.Second), ErrExpired},
+		"missing":            {"", now, ErrMissing},
+		"not a token":        {"a.b.c", now, ErrBad},
+		"unknown key":        {byB, now, ErrKey},
+		"signature swapped":  {swapped, now, ErrBad},
+		"no signature":       {plain, now, ErrBad},
+		"HMAC with the key":  {mac, now, ErrBad},
+		"no jti":             {bare, now, ErrBad},
+		"not before":         {soon, now, ErrEarly},
+		"issued in an hour":  {later, now, ErrEarly},
+		"longer than a head": {strings.Repeat("a", 5000), now, ErrBad},
+	} {
+		for range 2 { // the second time from the cache, where it has one
+			got, err := c.Check(x.raw, x.at)
+			if !errors.Is(err, x.err) || (x.err == nil) != (got != nil) {
+				t.Errorf("%s: %v, want %v", name, err, x.err)
+			}
+		}
+	}
+	got, _ := c.Check(raw, now)
+	if got.ID != "j" || got.Top != 3 || got.AgeMs(now.Add(time.Second)) < 999 || got.LeftMs(now) > 60000 {
+		t.Errorf("claims %+v", got)
+	}
+}
+
+func TestRotation(t *testing.T) {
+	now := time.Now()
+	a, b := key("a", 1), key("b", 2)
+	ra, _ := a.Mint(claims(now))
+	rb, _ := b.Mint(claims(now))
+	c := NewChecker([]Key{a, b}, 8, 0)
+	for _, raw := range []string{ra, rb} {
+		if _, err := c.Check(raw, now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.SetKeys([]Key{b})
+	if _, err := c.Check(ra, now); !errors.Is(err, ErrKey) {
+		t.Errorf("a removed key still holds, from the cache: %v", err)
+	}
+	if _, err := c.Check(rb, now); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestCacheIsBounded(t *testing.T) {
+	now := time.Now()
+	a := key("a", 1)
+	c := NewChecker([]Key{a}, 4, 0)
+	for i := range 40 {
+		x := claims(now)
+		x.ID = strings.Repeat("j", i+1)
+		raw, _ := a.Mint(x)
+		if _, err := c.Check(raw, now); err != nil {
+			t.Fatal(err)
+		}
+		if c.Cached() > 8 {
+			t.Fatalf("%d tokens cached", c.Cached())
+		}
+	}
+}
+
+func TestKeySets(t *testing.T) {
+	a, b := key("a", 1), key("b", 2)
+	got, err := ParseKeys(FormatKeys([]Key{a, b}, true))
+	if err != nil || len(got) != 2 || !got[0].Private.Equal(a.Private) || !got[1].Public.Equal(b.Public) {
+		t.Fatalf("%v %v", got, err)
+	}
+	public := FormatKeys([]Key{a}, false)
+	if bytes.Contains(public, []byte(`"d"`)) {
+		t.Fatal("the private part is in the public set")
+	}
+	got, _ = ParseKeys(public)
+	if _, err := got[0].Mint(claims(time.Now())); err == nil {
+		t.Error("signed without a private key")
+	}
+	for name, text := range map[string]string{
+		"no JSON":        "{",
+		"none":           `{"keys":[]}`,
+		"other kinds":    `{"keys":[{"kty":"RSA","kid":"x"}]}`,
+		"no kid":         `{"keys":[{"kty":"OKP","crv":"Ed25519","x":"` + strings.Repeat("A", 43) + `"}]}`,
+		"short":          `{"keys":[{"kty":"OKP","crv":"Ed25519","kid":"x","x":"AAAA"}]}`,
+		"twice one kid":  string(FormatKeys([]Key{a, a}, false)),
+		"not a key pair": strings.Replace(string(FormatKeys([]Key{a}, true)), `"d": "`, `"d": "B`, 1),
+	} {
+		if _, err := ParseKeys([]byte(text)); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+}
+
+func FuzzCheck(f *testing.F) {
+	a := key("a", 1)
+	raw, _ := a.Mint(claims(time.Now()))
+	f.Add(raw)
+	f.Add("..")
+	f.Add("eyJhbGciOiJub25lIn0.e30.")
+	f.Fuzz(func(t *testing.T, s string) {
+		c := NewChecker([]Key{a}, 8, time.Hour*24*365*100)
+		got, err := c.Check(s, time.Now())
+		if err == nil && (s != raw || got.ID != "j") {
+			t.Fatalf("a token that nobody signed holds: %q", s)
+		}
+	})
+}
+
+func BenchmarkCheckNew(b *testing.B) {
+	a := key("a", 1)
+	raw, _ := a.Mint(claims(time.Now()))
+	c := NewChecker([]Key{a}, 8, time.Hour)
+	b.ReportAllocs()
+	for b.Loop() {
+		c.SetKeys([]Key{a})
+		if _, err := c.Check(raw, time.Now()); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkCheckAgain(b *testing.B) {
+	a := key("a", 1)
+	raw, _ := a.Mint(claims(time.Now()))
+	c := NewChecker([]Key{a}, 8, time.Hour)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := c.Check(raw, time.Now()); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
