--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -59,6 +59,9 @@
 	Keys   string  `toml:"keys"` // file of a JSON Web Key Set; relative to the settings file
 	SkewMs float64 `toml:"skew_ms"`
 	Cache  int     `toml:"cache"`
+	// Workers check signatures beside the loop; 0: one less than there are processors, one at least.
+	Workers int `toml:"workers"`
+	Queue   int `toml:"queue"` // checks that may wait; what comes beyond is refused at once
 }
 
 // Limits bounds what is kept.
@@ -167,7 +170,7 @@
 	return Settings{
 		Director: Director{Listen: "127.0.0.1:0"},
 		List:     List{Path: "/list", RetryMs: 250, SilentMs: 5000},
-		Tokens:   Tokens{SkewMs: 250, Cache: 8192},
+		Tokens:   Tokens{SkewMs: 250, Cache: 8192, Queue: 1024},
 		Limits: Limits{Connections: 20000, Line: 4608, Head: 16384, Fields: 64, Body: 65536,
 			Output: 262144, Entries: 200000, Waiters: 8, Boxes: 1024, PoolPerBox: 64, EventBytes: 1 << 20,
 			ConnsPerBox: 512, SessionsInAll: 100000, CommandsABox: 4096},
@@ -389,6 +392,7 @@
 	}{
 		{"list.retry_ms", s.List.RetryMs, 10}, {"list.silent_ms", s.List.SilentMs, 100},
 		{"tokens.skew_ms", s.Tokens.SkewMs, 0}, {"tokens.cache", float64(s.Tokens.Cache), 1},
+		{"tokens.workers", float64(s.Tokens.Workers), 0}, {"tokens.queue", float64(s.Tokens.Queue), 1},
 		{"limits.connections", float64(s.Limits.Connections), 1}, {"limits.line", float64(s.Limits.Line), 64},
 		{"limits.head", float64(s.Limits.Head), 128}, {"limits.fields", float64(s.Limits.Fields), 4},
 		{"limits.body", float64(s.Limits.Body), 0},
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -18,6 +18,7 @@
 	"encoding/binary"
 	"fmt"
 	"log/slog"
+	"runtime"
 	"strings"
 	"time"
 
@@ -64,6 +65,7 @@
 	fleet  *fleet.List
 	stop   *retire.Stop
 	check  *token.Checker
+	pool   *token.Pool
 	titles map[string]*title
 
 	// What waits for the decision modules, in the order in which it was seen.
@@ -118,6 +120,11 @@
 		d.titles[t.Name] = &title{Title: t, number: xxhash.Sum64String(t.Name) | 1, class: cfg.ClassNumber(t.Class)}
 	}
 	d.check = token.NewChecker(keys, cfg.Tokens.Cache, time.Duration(cfg.Tokens.SkewMs*float64(time.Millisecond)))
+	workers := cfg.Tokens.Workers
+	if workers == 0 {
+		workers = runtime.NumCPU() - 1
+	}
+	d.pool = token.NewPool(workers, cfg.Tokens.Queue, l.Post)
 	d.ledger = once.New(once.Config{Me: max(cfg.Me(), 0), Directors: cfg.Director.Directors,
 		MaxEntries: cfg.Limits.Entries, MaxWaiters: cfg.Limits.Waiters, HoldMs: cfg.Times.HoldMs,
 		SkewMs: cfg.Tokens.SkewMs, RetryMs: cfg.Attempts.MaxRetryAfterMs, UnprovenMs: cfg.Times.LateMs,
@@ -226,6 +233,7 @@
 			for v := range d.viewers {
 				v.c.End()
 			}
+			go d.pool.Close()
 			if d.Done != nil {
 				d.Done()
 			}
--- a/internal/director/front.go
+++ b/internal/director/front.go
@@ -21,6 +21,7 @@
 const (
 	resting  viewerState = iota // between requests; holds no parser
 	reading                     // a request has begun
+	checking                    // its token's signature is being checked
 	awaiting                    // a request is owed an answer by the ledger
 )
 
@@ -90,7 +91,7 @@
 	if v.cut {
 		return
 	}
-	if v.state == awaiting {
+	if v.state >= checking {
 		v.rest = append(v.rest, b...)
 		v.c.Pause(true)
 		return
@@ -127,7 +128,7 @@
 			return
 		}
 		v.request()
-		if v.state == awaiting {
+		if v.state >= checking {
 			if len(b) > 0 {
 				v.rest = append(v.rest[:0], b...)
 				v.c.Pause(true)
@@ -189,8 +190,31 @@
 			raw = q.Get("access_token") // RFC 6750 2.3
 		}
 	}
+	v.state, v.deadline = checking, 0
+	direct := true
+	if !d.check.Begin(d.pool, raw, func(c *token.Claims, err error) {
+		if !v.c.Open() { // it left meanwhile: nothing has begun for it
+			return
+		}
+		v.asks(name, raw, c, err)
+		if !direct && v.state == resting {
+			v.next()
+		}
+	}) {
+		d.stats.Refused++
+		v.problem(503, "refused-checks", "more session tokens come than this director can check; nothing was set up",
+			d.cfg.Attempts.MaxRetryAfterMs)
+	}
+	direct = false
+}
+
+// asks takes a request whose token has been checked.
+func (v *viewer) asks(name, raw string, c *token.Claims, err error) {
+	d := v.d
 	now := d.wall()
-	c, err := d.check.Check(raw, now)
+	if err == nil {
+		err = d.check.Valid(c, now)
+	}
 	if err != nil {
 		d.stats.Denied++
 		v.unauthorized(err)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -97,9 +97,12 @@
 // Post hands f to the loop's goroutine; it is the only door from other goroutines.
 func (l *Loop) Post(f func()) {
 	l.mu.Lock()
+	first := len(l.posted) == 0
 	l.posted = append(l.posted, f)
 	l.mu.Unlock()
-	l.poke()
+	if first { // else the wake-up is already due
+		l.poke()
+	}
 }
 
 // Stop ends Run after the present round.
--- a/internal/token/token.go
+++ b/internal/token/token.go
@@ -152,10 +152,13 @@
 	return t.SignedString(k.Private)
 }
 
-// Checker checks tokens. It is for one goroutine.
+// keySet is never changed once made, so that goroutines can share it.
+type keySet map[string]ed25519.PublicKey
+
+// Checker checks tokens. It is for one goroutine; Pool moves the costly part to others.
 type Checker struct {
-	keys   map[string]ed25519.PublicKey
-	parser *jwt.Parser
+	keys   keySet
+	turn   int // counts changes of the keys
 	most   int
 	young  map[string]*Claims // checked signatures, newest generation
 	old    map[string]*Claims // the generation before; forgotten when young is full
@@ -164,18 +167,18 @@
 
 // NewChecker makes a checker with a cache of at most 2 x most tokens; leeway is the tolerated clock skew.
 func NewChecker(keys []Key, most int, leeway time.Duration) *Checker {
-	c := &Checker{most: max(most, 1), leeway: leeway, keys: map[string]ed25519.PublicKey{},
-		parser: jwt.NewParser(jwt.WithValidMethods([]string{"EdDSA"}), jwt.WithoutClaimsValidation())}
+	c := &Checker{most: max(most, 1), leeway: leeway}
 	c.SetKeys(keys)
 	return c
 }
 
 // SetKeys changes the key set; what was checked under the old one is checked again.
 func (c *Checker) SetKeys(keys []Key) {
-	clear(c.keys)
+	c.keys = keySet{}
 	for _, k := range keys {
 		c.keys[k.KID] = k.Public
 	}
+	c.turn++
 	c.young, c.old = map[string]*Claims{}, nil
 }
 
@@ -184,59 +187,94 @@
 
 // Check returns the claims of a raw token that is valid at now. The claims are shared: they are not to be changed.
 func (c *Checker) Check(raw string, now time.Time) (*Claims, error) {
-	claims, err := c.signed(raw)
+	claims, err := c.Signed(raw)
 	if err != nil {
 		return nil, err
 	}
+	if err := c.Valid(claims, now); err != nil {
+		return nil, err
+	}
+	return claims, nil
+}
+
+// Valid tells whether claims whose signature holds are in force at now.
+func (c *Checker) Valid(claims *Claims, now time.Time) error {
 	switch {
 	case !now.Before(claims.ExpiresAt.Add(c.leeway)):
-		return nil, fmt.Errorf("%w: at %s", ErrExpired, claims.ExpiresAt.UTC().Format(time.RFC3339))
+		return fmt.Errorf("%w: at %s", ErrExpired, claims.ExpiresAt.UTC().Format(time.RFC3339))
 	case claims.NotBefore != nil && now.Add(c.leeway).Before(claims.NotBefore.Time),
 		now.Add(c.leeway + time.Minute).Before(claims.IssuedAt.Time):
-		return nil, ErrEarly
+		return ErrEarly
 	}
-	return claims, nil
+	return nil
 }
 
 // Signed returns the claims of a token whose signature holds, whatever its times say.
-func (c *Checker) Signed(raw string) (*Claims, error) { return c.signed(raw) }
-
-func (c *Checker) signed(raw string) (*Claims, error) {
-	if raw == "" {
-		return nil, ErrMissing
+func (c *Checker) Signed(raw string) (*Claims, error) {
+	if claims := c.cached(raw); claims != nil {
+		return claims, nil
 	}
-	if len(raw) > 4096 {
-		return nil, fmt.Errorf("%w: longer than 4096 bytes", ErrBad)
+	if err := plausible(raw); err != nil {
+		return nil, err
+	}
+	claims, err := verify(c.keys, raw)
+	if err == nil {
+		c.store(raw, claims)
 	}
+	return claims, err
+}
+
+func (c *Checker) cached(raw string) *Claims {
 	if claims := c.young[raw]; claims != nil {
-		return claims, nil
+		return claims
 	}
 	claims := c.old[raw]
-	if claims == nil {
-		claims = &Claims{}
-		if _, err := c.parser.ParseWithClaims(raw, claims, c.key); err != nil {
-			if errors.Is(err, ErrKey) {
-				return nil, ErrKey
-			}
-			return nil, fmt.Errorf("%w: %w", ErrBad, err)
-		}
-		if err := claims.Validate(); err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrBad, err)
-		}
+	if claims != nil {
+		c.store(raw, claims)
 	}
+	return claims
+}
+
+func (c *Checker) store(raw string, claims *Claims) {
 	if len(c.young) >= c.most {
 		c.old, c.young = c.young, make(map[string]*Claims, c.most)
 	}
 	c.young[raw] = claims
-	return claims, nil
 }
 
-func (c *Checker) key(t *jwt.Token) (any, error) {
-	kid, _ := t.Header["kid"].(string)
-	if k := c.keys[kid]; k != nil {
-		return k, nil
+// plausible refuses what is not worth a signature check.
+func plausible(raw string) error {
+	if raw == "" {
+		return ErrMissing
+	}
+	if len(raw) > 4096 {
+		return fmt.Errorf("%w: longer than 4096 bytes", ErrBad)
+	}
+	return nil
+}
+
+var parser = jwt.NewParser(jwt.WithValidMethods([]string{"EdDSA"}), jwt.WithoutClaimsValidation())
+
+// verify checks signature and form. It is pure, for any goroutine.
+func verify(keys keySet, raw string) (*Claims, error) {
+	claims := &Claims{}
+	_, err := parser.ParseWithClaims(raw, claims, func(t *jwt.Token) (any, error) {
+		kid, _ := t.Header["kid"].(string)
+		if k := keys[kid]; k != nil {
+			return k, nil
+		}
+		return nil, ErrKey
+	})
+	if errors.Is(err, ErrKey) {
+		return nil, ErrKey
 	}
-	return nil, ErrKey
+	if err == nil {
+		err = claims.Validate()
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrBad, err)
+	}
+	return claims, nil
 }
 
 // AgeMs is how long ago the token was issued, in ms; rounded up where iat has whole seconds only.
--- a/internal/token/token_test.go
+++ b/internal/token/token_test.go
@@ -60,8 +60,11 @@
 		"issued in an hour":  {later, now, ErrEarly},
 		"longer than a head": {strings.Repeat("a", 5000), now, ErrBad},
 	} {
-		for range 2 { // the second time from the cache, where it has one
+		for i := range 3 { // the second time from the cache, where it has one; then in a pool
 			got, err := c.Check(x.raw, x.at)
+			if i == 2 {
+				got, err = pooled(c, x.raw, x.at)
+			}
 			if !errors.Is(err, x.err) || (x.err == nil) != (got != nil) {
 				t.Errorf("%s: %v, want %v", name, err, x.err)
 			}
@@ -73,6 +76,53 @@
 	}
 }
 
+// pooled checks in a pool with an empty cache.
+func pooled(c *Checker, raw string, now time.Time) (*Claims, error) {
+	type result struct {
+		claims *Claims
+		err    error
+	}
+	ch := make(chan result, 1)
+	p := NewPool(2, 4, func(f func()) { f() })
+	defer p.Close()
+	fresh := NewChecker(nil, 4, c.leeway)
+	fresh.keys = c.keys
+	fresh.Begin(p, raw, func(k *Claims, err error) { ch <- result{k, err} })
+	r := <-ch
+	if r.err == nil {
+		if r.err = fresh.Valid(r.claims, now); r.err != nil {
+			r.claims = nil
+		}
+	}
+	return r.claims, r.err
+}
+
+// A key that is removed while a check is out does not let that token in, and a full queue says so.
+func TestPoolEdges(t *testing.T) {
+	now := time.Now()
+	a := key("a", 1)
+	raw, _ := a.Mint(claims(now))
+	c := NewChecker([]Key{a}, 8, 0)
+	var posted []func()
+	gate := make(chan func(), 8)
+	p := NewPool(1, 1, func(f func()) { gate <- f })
+	var got error
+	if !c.Begin(p, raw, func(_ *Claims, err error) { got = err }) {
+		t.Fatal("an empty queue is full")
+	}
+	posted = append(posted, <-gate)
+	c.SetKeys(nil)
+	posted[0]()
+	if !errors.Is(got, ErrKey) || c.Cached() != 0 {
+		t.Errorf("after the key was removed: %v, %d cached", got, c.Cached())
+	}
+	p.Close()
+	stuck := &Pool{jobs: make(chan job, 1)} // no worker
+	if !c.Begin(stuck, raw, nil) || c.Begin(stuck, raw, nil) {
+		t.Error("a queue of one takes none, or two")
+	}
+}
+
 func TestRotation(t *testing.T) {
 	now := time.Now()
 	a, b := key("a", 1), key("b", 2)
@@ -141,7 +191,7 @@
 
 func FuzzCheck(f *testing.F) {
 	a := key("a", 1)
-	raw, _ := a.Mint(claims(time.Now()))
+	raw, _ := a.Mint(claims(time.Unix(1.8e9, 0))) // a fixed time: the fuzzer's workers mint it anew
 	f.Add(raw)
 	f.Add("..")
 	f.Add("eyJhbGciOiJub25lIn0.e30.")
