--- a/internal/director/answer.go
+++ b/internal/director/answer.go
@@ -67,6 +67,9 @@
 // problem answers with a problem document (RFC 9457). retryMs is advice; 0 gives none.
 func (v *viewer) problem(status int, kind, detail string, retryMs float64) {
 	b := v.head(status)
+	if status == 405 {
+		b = http1.AppendField(b, "Allow", "GET, OPTIONS")
+	}
 	if status == 401 {
 		b = http1.AppendField(b, "WWW-Authenticate", `Bearer realm="headmill", error="invalid_token"`)
 	}
@@ -87,9 +90,7 @@
 }
 
 func (v *viewer) notAllowed() {
-	b := v.head(405)
-	b = http1.AppendField(b, "Allow", "GET, OPTIONS")
-	v.write(http1.AppendBody(b, nil, false))
+	v.problem(405, "method", "manifests are fetched with GET", 0)
 }
 
 // preflight answers a browser's CORS preflight: the Authorization field needs one (WHATWG Fetch 4.8).
