--- /dev/null
+++ b/decide/limits/limits.go
@@ -0,0 +1,427 @@
+// Package limits decides what may come in before the module is asked: which
+// requests a director refuses because it is itself overloaded, because a brand
+// has used its share, because one title would starve the others of its brand,
+// or because a repeated try would crowd out first ones; and when a refused
+// viewer should come again. It also keeps the accounts of memory by purpose and
+// works out the weight that balancers are told.
+//
+// It is pure: events with their time go in by Step, decisions come out; chance
+// comes from a seed. Nothing is ever held back: each request is answered in the
+// Step that brings it.
+//
+// While the boxes have room for all, everything passes. Shares, titles and
+// repeated tries only count while the module refuses for want of room.
+package limits
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+)
+
+const (
+	slotMs      = 250.0  // ms of a slot of the calendar and of the counts
+	rateTauMs   = 2000.0 // ms in which measured rates forget two thirds
+	scarceFrom  = 0.05   // share of placements refused for want of room from which shares count
+	leastTried  = 8.0    // placements tried lately, or their share says nothing
+	scarceHold  = 1000.0 // ms that shares go on counting after the last refusal by them or by the module
+	leastRate   = 0.001  // placements a ms that may be tried at least, or nothing would ever be learned,
+	leastPart   = 0.05   // and at least this part of the measured rate
+	ownOver     = 1.1    // of the measured rate that the brands' own parts add up to: it may be about to rise
+	loanUp      = 1.1    // growth of loans a slot while every request within a share finds room: 46% a second
+	loanDown    = 0.5    // what is left of them after a slot in which one did not
+	usedPart    = 0.7    // of the loans; they grow only where so much of them is used
+	depthMs     = 1000.0 // ms of its rate that a brand's bucket holds: what it may come back with at once
+	calmFrom    = 0.8    // part of a limit from which load is shed
+	panicAt     = 1.5    // part of a limit at which everything new is shed
+	calmTauMs   = 1000.0 // ms in which a fallen load is believed by two thirds
+	returnShare = 0.9    // of refused viewers come again
+	titleSlack  = 2.0    // placements that a title may be ahead of its part
+)
+
+// Brand is one tenant.
+type Brand struct {
+	Name  string
+	Share float64 // its part of what is placed; parts are scaled to add up to 1
+	Most  float64 // the largest part that it may have, loans included; 0: no such cap
+}
+
+// Config is what the gate is told.
+type Config struct {
+	Brands      []Brand   // the last one also stands for names that are not listed
+	Values      []float64 // worth of each class
+	MinRetryMs  float64   // advice is never shorter
+	MaxRetryMs  float64   // nor longer
+	RememberMs  float64   // how long a refused wish is known as such when it comes again
+	MaxWishes   int       // refused wishes remembered
+	LagMs       float64   // loop lag that counts as full load
+	Queue       float64   // waiting events that count as full load
+	MemoryBytes float64   // memory that counts as full load; 0: not looked at
+	PassAll     bool      // decide nothing, for comparison
+}
+
+// EventKind tells which fields of an Event are set.
+type EventKind uint8
+
+// The events.
+const (
+	Ask    EventKind = iota // ID, Wish, Brand, Title, Class: a new wanted session
+	Placed                  // Wish, Brand, Title: the module found room, it plays
+	NoRoom                  // ID, Wish, Brand, Title: the module refused for want of room; answered with advice
+	Load                    // LagMs, Queue, MemoryBytes
+	Tick
+)
+
+// Event is one fact or one request.
+type Event struct {
+	Kind         EventKind
+	ID           uint64
+	Wish         uint64 // what is wanted by whom; the same when a viewer comes again
+	Title        uint64
+	Brand, Class int
+	Loan         bool // of NoRoom: as the Action that let it through said
+	LagMs, Queue float64
+	MemoryBytes  float64
+}
+
+// Reason tells why a request is not let through.
+type Reason uint8
+
+// The reasons.
+const (
+	Pass     Reason = iota
+	Overload        // the director itself is over its limits
+	Share           // the brand has used its part while others want theirs
+	Title           // the title has more than its part of the brand
+	Repeat          // first tries need the room
+	Room            // the module's refusal; only the advice is from here
+)
+
+var reasonNames = [...]string{"pass", "overload", "share", "title", "repeat", "room"}
+
+func (r Reason) String() string { return reasonNames[r] }
+
+// Action is one decision.
+type Action struct {
+	ID       uint64
+	Reason   Reason
+	RetryMs  float64 // advice, where it is refused
+	Repeated bool    // the wish was refused before
+	Loan     bool    // it was let through beyond its brand's own part, or as a repeated try
+}
+
+// rate is a count a second that forgets.
+type rate struct{ perMs float64 }
+
+func (r *rate) add(n float64)   { r.perMs += n / rateTauMs }
+func (r *rate) fade(ms float64) { r.perMs *= math.Exp(-ms / rateTauMs) }
+
+// Gate is the state.
+type Gate struct {
+	cfg      Config
+	rng      *rand.Rand
+	now      float64
+	started  bool
+	began    float64
+	placed   rate // placements
+	firsts   rate // first tries
+	tried    float64
+	noRoom   float64 // both of the last second or so: placements tried and refused
+	scarce   float64 // until then shares count
+	loan     float64 // placements a ms that are let through beyond the brands' own parts
+	aimed    float64 // when loans were last moved
+	hurt     bool    // a request within its share found no room in this slot
+	borrowed float64 // loans used in this slot
+	brands   []*brand
+	lent     float64 // loans that the brands they were meant for left to all
+	severity float64
+	returns  calendar
+	wishes   wishes
+	ranks    []int // of classes by worth
+	steps    int
+}
+
+// New makes a gate; seed is its only source of chance.
+func New(cfg Config, seed uint64) *Gate {
+	if len(cfg.Brands) == 0 {
+		cfg.Brands = []Brand{{Name: "all", Share: 1}}
+	}
+	if len(cfg.Values) == 0 {
+		cfg.Values = []float64{1}
+	}
+	g := &Gate{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x6c696d69))}
+	g.SetBrands(cfg.Brands)
+	g.wishes.most = max(cfg.MaxWishes, 1)
+	g.ranks, g.steps = ranks(cfg.Values)
+	return g
+}
+
+// SetBrands changes the shares. What was used stays used.
+func (g *Gate) SetBrands(list []Brand) {
+	total := 0.0
+	for _, b := range list {
+		total += math.Max(b.Share, 0)
+	}
+	old := map[string]*brand{}
+	for _, b := range g.brands {
+		old[b.Name] = b
+	}
+	g.brands = nil
+	for _, b := range list {
+		n := old[b.Name]
+		if n == nil {
+			n = &brand{titles: map[uint64]*title{}}
+		}
+		n.Brand = b
+		if total > 0 {
+			n.part = math.Max(b.Share, 0) / total
+		} else {
+			n.part = 1 / float64(len(list))
+		}
+		g.brands = append(g.brands, n)
+	}
+	g.cfg.Brands = list
+}
+
+// BrandNumber finds a brand; names that are not listed are the last one's.
+func (g *Gate) BrandNumber(name string) int {
+	for i, b := range g.brands {
+		if b.Name == name {
+			return i
+		}
+	}
+	return len(g.brands) - 1
+}
+
+// Scarce tells whether shares count at present.
+func (g *Gate) Scarce() bool { return g.started && g.now < g.scarce }
+
+// Severity is the director's own load over its limits: 1 is full.
+func (g *Gate) Severity() float64 { return g.severity }
+
+// Remembered is the number of refused wishes that are known.
+func (g *Gate) Remembered() int { return g.wishes.len() }
+
+// Step takes the events of one moment and appends a decision for each Ask and NoRoom, in their order.
+func (g *Gate) Step(now float64, events []Event, out []Action) []Action {
+	g.pass(now)
+	for i := range events {
+		ev := &events[i]
+		switch ev.Kind {
+		case Ask:
+			out = append(out, g.ask(ev))
+		case NoRoom:
+			g.tried++
+			g.noRoom++
+			g.hurt = g.hurt || !ev.Loan
+			g.look()
+			repeated := g.wishes.known(ev.Wish, g.now, g.cfg.RememberMs)
+			if !repeated {
+				g.brand(ev.Brand).unmet(ev.Title, g.now)
+			}
+			out = append(out, g.refuse(ev, Room, repeated))
+		case Placed:
+			g.tried++
+			g.placed.add(1)
+			g.wishes.forget(ev.Wish)
+		case Load:
+			g.load(ev)
+		}
+	}
+	return out
+}
+
+// pass lets time go by: rates fade, buckets fill, what overflows is on offer to others.
+func (g *Gate) pass(now float64) {
+	if !g.started {
+		g.started, g.now, g.began = true, now, now
+		g.returns.start(now)
+		return
+	}
+	ms := now - g.now
+	if ms <= 0 {
+		return
+	}
+	g.now = now
+	g.placed.fade(ms)
+	g.firsts.fade(ms)
+	fade := math.Exp(-ms / (2 * slotMs))
+	g.tried *= fade
+	g.noRoom *= fade
+	g.aim()
+	whole := g.whole()
+	for _, b := range g.brands {
+		b.fill(ms, whole)
+		g.lent += b.borrow(ms, g.loan)
+	}
+	g.lent = math.Min(g.lent, math.Max(g.loan*slotMs, 1))
+	g.returns.pass(now)
+}
+
+// whole is the rate, a ms, that the brands' own parts add up to.
+func (g *Gate) whole() float64 { return math.Max(g.placing()*ownOver, leastRate) }
+
+func (g *Gate) least() float64 { return math.Max(g.placing()*leastPart, leastRate) }
+
+// placing is the measured rate of placements a ms. A young measurement is scaled up by the time that it lacks.
+func (g *Gate) placing() float64 {
+	return g.placed.perMs / math.Max(1-math.Exp(-(g.now-g.began)/rateTauMs), 0.05)
+}
+
+// aim moves the loans: up while every request within a share finds room, down by half where one did not. So a
+// brand that comes back for its part has it within a few slots, whatever the others had borrowed.
+func (g *Gate) aim() {
+	if g.now-g.aimed < slotMs {
+		return
+	}
+	switch {
+	case g.hurt:
+		g.loan = math.Max(g.loan*loanDown, g.least())
+		g.lent = math.Min(g.lent, 1)
+	case g.borrowed >= usedPart*g.loan*(g.now-g.aimed):
+		g.loan = math.Min(g.loan*loanUp, math.Max(2*g.placing(), g.least()))
+	}
+	g.aimed, g.hurt, g.borrowed = g.now, false, 0
+}
+
+// look turns the shares on while placements are refused for want of room.
+func (g *Gate) look() {
+	if g.tried >= leastTried && g.noRoom/g.tried >= scarceFrom {
+		if !g.Scarce() { // from here on the buckets count: begin with what their owners have not used
+			whole := g.whole()
+			for _, b := range g.brands {
+				b.start(whole)
+			}
+			g.loan = math.Max(g.placing()/2, g.least())
+			g.lent, g.aimed, g.hurt, g.borrowed = 1, g.now, false, 0
+		}
+		g.scarce = g.now + scarceHold
+	}
+}
+
+func (g *Gate) brand(i int) *brand {
+	if i < 0 || i >= len(g.brands) {
+		i = len(g.brands) - 1
+	}
+	return g.brands[i]
+}
+
+func (g *Gate) ask(ev *Event) Action {
+	b := g.brand(ev.Brand)
+	repeated := g.wishes.known(ev.Wish, g.now, g.cfg.RememberMs)
+	if !repeated {
+		g.firsts.add(1)
+	}
+	if g.cfg.PassAll {
+		return Action{ID: ev.ID, Repeated: repeated}
+	}
+	if g.sheds(ev.Class, repeated) {
+		return g.refuse(ev, Overload, repeated)
+	}
+	if !g.Scarce() {
+		return Action{ID: ev.ID, Repeated: repeated}
+	}
+	t := b.title(ev.Title, g.now)
+	if b.starves(t, g.now) {
+		g.scarce = g.now + scarceHold
+		return g.refuse(ev, Title, repeated)
+	}
+	loan := false
+	switch {
+	case b.capped():
+	case !repeated && b.tokens >= 1:
+		b.spend(&b.tokens)
+		t.used++
+		return Action{ID: ev.ID}
+	case b.loans >= 1:
+		b.spend(&b.loans)
+		loan = true
+	case g.lent >= 1:
+		b.spend(&g.lent)
+		loan = true
+	}
+	if !loan {
+		g.scarce = g.now + scarceHold
+		why := Repeat
+		if !repeated {
+			why = Share
+			b.unmet(ev.Title, g.now)
+		}
+		return g.refuse(ev, why, repeated)
+	}
+	g.borrowed++
+	t.used++
+	return Action{ID: ev.ID, Repeated: repeated, Loan: true}
+}
+
+// refuse remembers the wish and finds a time for its return.
+func (g *Gate) refuse(ev *Event, why Reason, repeated bool) Action {
+	g.wishes.add(ev.Wish, g.now)
+	a := Action{ID: ev.ID, Reason: why, Repeated: repeated}
+	if g.cfg.MaxRetryMs <= 0 {
+		return a
+	}
+	if g.cfg.PassAll {
+		a.RetryMs = g.cfg.MaxRetryMs
+		return a
+	}
+	spare := math.Max(g.placing()-g.firsts.perMs, g.placing()*0.1) * slotMs
+	a.RetryMs = g.returns.book(g.now, g.cfg.MinRetryMs, g.cfg.MaxRetryMs, spare, g.rng)
+	return a
+}
+
+// ---- load of the director itself ----
+
+// load takes the director's own figures. A rise is believed at once, a fall slowly, so that shedding does not
+// flap with the lag that it cures.
+func (g *Gate) load(ev *Event) {
+	s := 0.0
+	for _, f := range [][2]float64{{ev.LagMs, g.cfg.LagMs}, {ev.Queue, g.cfg.Queue}, {ev.MemoryBytes, g.cfg.MemoryBytes}} {
+		if f[1] > 0 {
+			s = math.Max(s, f[0]/f[1])
+		}
+	}
+	if s < g.severity {
+		s = g.severity + (s-g.severity)*(1-math.Exp(-slotMs/calmTauMs))
+	}
+	g.severity = s
+}
+
+// ranks numbers classes by worth, the least first; equal worth is equal rank.
+func ranks(values []float64) (rank []int, distinct int) {
+	sorted := append([]float64(nil), values...)
+	sort.Float64s(sorted)
+	place := map[float64]int{}
+	for _, v := range sorted {
+		if _, ok := place[v]; !ok {
+			place[v] = len(place)
+		}
+	}
+	for _, v := range values {
+		rank = append(rank, place[v])
+	}
+	return rank, len(place)
+}
+
+// sheds tells whether a request is refused for the director's own sake: the cheapest refusal first, that is by
+// worth, and among equal worth repeated tries before first ones.
+func (g *Gate) sheds(class int, repeated bool) bool {
+	if g.severity < calmFrom {
+		return false
+	}
+	step := 2 * g.ranks[min(max(class, 0), len(g.ranks)-1)]
+	if !repeated {
+		step++
+	}
+	return g.severity >= calmFrom+(panicAt-calmFrom)*float64(step)/float64(2*g.steps)
+}
+
+// Weight is what a balancer should be told of this director, 1 to 100: less as its own load nears its limits
+// and while its boxes have no room.
+func (g *Gate) Weight() int {
+	w := 1 - math.Min(math.Max(g.severity-0.5, 0)/0.5, 1)
+	if g.tried >= 1 {
+		w *= 1 - 0.5*g.noRoom/g.tried
+	}
+	return max(int(math.Round(w*100)), 1)
+}
--- /dev/null
+++ b/decide/limits/memory.go
@@ -0,0 +1,82 @@
+package limits
+
+// Purpose is what memory is used for.
+type Purpose uint8
+
+// The purposes. What the director does where a cap is met: see docs/operate/limits.md.
+const (
+	Sessions    Purpose = iota // entries of the session table: a new one is refused
+	Connections                // of viewers: a new one is closed at once
+	Ledger                     // entries of the once-ledger: a new token is refused
+	Reports                    // bytes of players' reports: the report is dropped
+	Outgoing                   // bytes that wait for viewers: the connection that wants more is cut
+	Sockets                    // sessions held over WebSocket connections: the message is refused
+	purposes
+)
+
+var purposeNames = [...]string{"sessions", "connections", "ledger", "reports", "outgoing", "sockets"}
+
+func (p Purpose) String() string { return purposeNames[p] }
+
+// Purposes lists all.
+func Purposes() []Purpose {
+	out := make([]Purpose, purposes)
+	for i := range out {
+		out[i] = Purpose(i)
+	}
+	return out
+}
+
+// Account is one purpose's figures.
+type Account struct {
+	Used, Cap int64  // Cap 0: none
+	Peak      int64  // the most ever used
+	Denied    uint64 // how often the cap was met
+}
+
+// Accounts counts memory by purpose against caps.
+type Accounts struct{ of [purposes]Account }
+
+// SetCap changes a cap. One below what is in use takes nothing away: nothing new is taken until it fits.
+func (a *Accounts) SetCap(p Purpose, n int64) { a.of[p].Cap = max(n, 0) }
+
+// Take books n, or counts a denial where the cap would be passed.
+func (a *Accounts) Take(p Purpose, n int64) bool {
+	x := &a.of[p]
+	if n < 0 || x.Cap > 0 && x.Used+n > x.Cap {
+		x.Denied++
+		return false
+	}
+	x.Used += n
+	x.Peak = max(x.Peak, x.Used)
+	return true
+}
+
+// Give returns n. More than is booked is the caller's fault and never makes the account negative.
+func (a *Accounts) Give(p Purpose, n int64) {
+	x := &a.of[p]
+	x.Used = max(x.Used-max(n, 0), 0)
+}
+
+// Set books what is in use now, for purposes that are measured and not counted one by one. It tells whether
+// that is within the cap.
+func (a *Accounts) Set(p Purpose, used int64) bool {
+	x := &a.of[p]
+	x.Used = max(used, 0)
+	x.Peak = max(x.Peak, x.Used)
+	return x.Cap == 0 || x.Used <= x.Cap
+}
+
+// Of returns a purpose's figures.
+func (a *Accounts) Of(p Purpose) Account { return a.of[p] }
+
+// Fullest is the largest part of a cap that is in use, 0 where no purpose has a cap.
+func (a *Accounts) Fullest() float64 {
+	most := 0.0
+	for _, x := range a.of {
+		if x.Cap > 0 {
+			most = max(most, float64(x.Used)/float64(x.Cap))
+		}
+	}
+	return most
+}
