The session API over WebSocket beside the manifest path, one core, limits in force

GET /session upgrades with a token in a field or among the offered subprotocols; messages in protobuf, binary or ProtoJSON by the subprotocol. Both fronts place orders with one core (core.go): catalogue, gate, accounts, ledger. The ledger knows sessions that are tied to connections (they outlive the last one by times.tie_ms) and viewers who want a session ended; DELETE on the manifest does the same over DASH. Refused for want of room, viewers get the gate's advice. Agent checks on a port of their own; a stop refuses for times.notice_ms before the door closes. SIGHUP takes limits and brands too.

--- a/cmd/headmill/serve.go
+++ b/cmd/headmill/serve.go
@@ -81,19 +81,27 @@
 		return err
 	}
 	log.Info("serving", "director", cfg.Director.Name, "addr", d.Addr(), "pid", os.Getpid())
-	ready, _ := json.Marshal(map[string]string{"addr": d.Addr(), "director": cfg.Director.Name})
+	ready, _ := json.Marshal(map[string]string{"addr": d.Addr(), "agent": d.AgentAddr(), "director": cfg.Director.Name})
 	fmt.Println(string(ready))
 	sigs := make(chan os.Signal, 4)
 	signal.Notify(sigs, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
 		for s := range sigs {
-			if s == syscall.SIGHUP { // keys are rotated without a restart
+			if s == syscall.SIGHUP { // keys, limits and brands change without a restart
 				keys, err := loadKeys(cfg.Tokens.Keys)
 				if err != nil {
 					log.Error("key set not read again; the old one stays", "error", err.Error())
 					continue
 				}
-				l.Post(func() { d.SetKeys(keys) })
+				fresh, err := config.Load(c.File)
+				if err != nil {
+					log.Error("settings not read again; the old ones stay", "error", err.Error())
+					fresh = cfg
+				}
+				l.Post(func() {
+					d.SetKeys(keys)
+					d.Reload(fresh)
+				})
 				continue
 			}
 			d.Stop()
--- a/decide/limits/limits_test.go
+++ b/decide/limits/limits_test.go
@@ -440,6 +440,19 @@
 	if a.Set(Outgoing, 101) || !a.Set(Outgoing, 50) || a.Fullest() != 0.5 {
 		t.Errorf("%+v", a.Of(Outgoing))
 	}
+	if a.Room(Sessions, 5) || !a.Room(Sessions, 4) {
+		t.Errorf("%+v", a.Of(Sessions))
+	}
+	m := Meter{PerMs: 0.01, Burst: 3}
+	passed := 0
+	for i := range 1000 { // a second of one a ms: the burst and ten more
+		if m.Take(float64(i)) {
+			passed++
+		}
+	}
+	if passed < 12 || passed > 13 {
+		t.Errorf("%d passed a meter of ten a second with a burst of three", passed)
+	}
 	for _, p := range Purposes() {
 		if p.String() == "" {
 			t.Error(p)
--- a/decide/limits/memory.go
+++ b/decide/limits/memory.go
@@ -52,6 +52,16 @@
 	return true
 }
 
+// Room tells whether n more would fit, and counts a denial where not.
+func (a *Accounts) Room(p Purpose, n int64) bool {
+	x := &a.of[p]
+	if x.Cap > 0 && x.Used+n > x.Cap {
+		x.Denied++
+		return false
+	}
+	return true
+}
+
 // Give returns n. More than is booked is the caller's fault and never makes the account negative.
 func (a *Accounts) Give(p Purpose, n int64) {
 	x := &a.of[p]
@@ -80,3 +90,24 @@
 	}
 	return most
 }
+
+// Meter lets so many a ms through, with a burst: the agreed pace of one source.
+type Meter struct {
+	PerMs, Burst float64
+	tokens, at   float64
+	begun        bool
+}
+
+// Take tells whether one more is within the pace at now (ms).
+func (m *Meter) Take(now float64) bool {
+	if !m.begun {
+		m.begun, m.tokens, m.at = true, m.Burst, now
+	}
+	m.tokens = min(m.tokens+(now-m.at)*m.PerMs, m.Burst)
+	m.at = now
+	if m.tokens < 1 {
+		return false
+	}
+	m.tokens--
+	return true
+}
--- a/decide/once/once.go
+++ b/decide/once/once.go
@@ -34,7 +34,7 @@
 
 // The events.
 const (
-	Ask     EventKind = iota // Waiter, Key, Print, Paid, AgeMs, LeftMs, Session: the number to use if it begins
+	Ask     EventKind = iota // Waiter, Key, Print, Paid, Tied, AgeMs, LeftMs, Session: the number to use if it begins
 	Left                     // Waiter: the viewer closed its connection
 	Plays                    // Session: its set-up has been answered, it plays
 	Refused                  // Session, RetryMs: the module's final word, nothing ran
@@ -42,6 +42,9 @@
 	Ended                    // Session: a session that played has ended
 	Late                     // Session: an attempt that was given up plays after all
 	Proven                   // Session: an attempt that was given up is now known never to have run
+	Tie                      // Session: a connection holds it
+	Untie                    // Session: one that did is gone
+	Quit                     // Key, Print: its viewer wants it ended
 	Tick                     // time passes
 )
 
@@ -52,6 +55,7 @@
 	Key     string // jti
 	Print   uint64 // fingerprint of what the token asks for: title, class, viewer
 	Paid    bool
+	Tied    bool    // if it begins, it lives only while a connection holds it, and TieMs longer
 	AgeMs   float64 // since the token was issued
 	LeftMs  float64 // until the token expires
 	Session Session
@@ -116,6 +120,7 @@
 	MaxEntries  int      // entries in all
 	MaxWaiters  int      // requests that may wait for one session
 	HoldMs      float64  // how long a session that no viewer has been told of is kept
+	TieMs       float64  // how long a tied session outlives its last connection
 	SkewMs      float64  // how far the issuer's clock may differ
 	RetryMs     float64  // advice where the ledger itself refuses
 	UnprovenMs  float64  // how long a paid entry outlives its token: late answers of boxes
@@ -148,6 +153,10 @@
 	session Session
 	paid    bool
 	adopted bool // the module knows the session as playing
+	tied    bool // it needs a connection that holds it
+	quit    bool // its viewer wanted it ended while its set-up was out
+	ties    int
+	lapse   float64 // tied, and no connection holds it: when it is ended
 	state   State
 	why     Reason
 	waiters []Waiter
@@ -205,6 +214,10 @@
 			l.left(ev.Waiter)
 		case Tick:
 			l.sweep()
+		case Quit:
+			if e := l.byKey[ev.Key]; e != nil && e.print == ev.Print {
+				l.quit(e)
+			}
 		default:
 			if e := l.bySession[ev.Session]; e != nil {
 				l.fact(e, ev)
@@ -237,9 +250,10 @@
 		}
 		l.join(e, ev.Waiter)
 	case StatePlaying:
+		e.lapse = l.now + l.cfg.TieMs // taken up again: its new connection has time to hold it
 		l.out = append(l.out, Action{Kind: Play, Waiter: ev.Waiter, Session: e.session})
 	case StateSpare:
-		e.state = StatePlaying
+		e.state, e.lapse = StatePlaying, l.now+l.cfg.TieMs
 		if !e.adopted {
 			e.adopted = true
 			l.out = append(l.out, Action{Kind: Adopt, Session: e.session})
@@ -300,6 +314,7 @@
 
 func (l *Ledger) begin(e *entry, ev *Event) {
 	e.session, e.state, e.why, e.adopted = ev.Session, StateAsked, ReasonNone, false
+	e.tied, e.quit, e.ties = ev.Tied, false, 0
 	l.bySession[e.session] = e
 	l.join(e, ev.Waiter)
 	l.out = append(l.out, Action{Kind: Begin, Session: e.session, Waiter: ev.Waiter})
@@ -358,11 +373,15 @@
 			return
 		}
 		e.adopted = true
+		if e.quit {
+			l.finish(e)
+			return
+		}
 		if len(e.waiters) == 0 {
 			l.spare(e)
 			return
 		}
-		e.state = StatePlaying
+		e.state, e.lapse = StatePlaying, l.now+l.cfg.TieMs
 		for _, w := range l.release(e) {
 			l.out = append(l.out, Action{Kind: Play, Waiter: w, Session: e.session})
 		}
@@ -396,6 +415,12 @@
 			e.state, e.why = StateVoid, ReasonNone
 			l.drop(e)
 		}
+	case Tie:
+		e.ties++
+	case Untie:
+		if e.ties = max(e.ties-1, 0); e.ties == 0 {
+			e.lapse = l.now + l.cfg.TieMs
+		}
 	case Ended:
 		if e.state == StatePlaying || e.state == StateSpare {
 			e.state = StateOver
@@ -404,6 +429,27 @@
 	}
 }
 
+// quit ends a session by its viewer's wish. A set-up that is out can't be taken back: it is ended once it plays.
+func (l *Ledger) quit(e *entry) {
+	switch e.state {
+	case StatePlaying, StateSpare:
+		l.finish(e)
+	case StateAsked:
+		e.quit = true
+		for _, w := range l.release(e) {
+			l.fail(w, e.session, ReasonOver)
+		}
+		l.out = append(l.out, Action{Kind: Withdraw, Session: e.session})
+	}
+}
+
+// finish ends a session at its box.
+func (l *Ledger) finish(e *entry) {
+	e.state = StateOver
+	l.out = append(l.out, Action{Kind: End, Session: e.session})
+	l.drop(e)
+}
+
 func (l *Ledger) spare(e *entry) {
 	e.state, e.hold = StateSpare, l.now+l.cfg.HoldMs
 }
@@ -428,17 +474,16 @@
 	l.swept = l.now
 	var due []*entry
 	for _, e := range l.byKey {
-		if e.state == StateSpare && l.now >= e.hold || e.paid && l.now >= e.until &&
+		lapsed := e.state == StatePlaying && e.tied && e.ties == 0 && l.now >= e.lapse
+		if lapsed || e.state == StateSpare && l.now >= e.hold || e.paid && l.now >= e.until &&
 			(e.state == StateLost || e.state == StateOver || e.state == StateVoid) {
 			due = append(due, e)
 		}
 	}
 	slices.SortFunc(due, func(a, b *entry) int { return cmp.Compare(a.session, b.session) })
 	for _, e := range due {
-		if e.state == StateSpare {
-			e.state = StateOver
-			l.out = append(l.out, Action{Kind: End, Session: e.session})
-			l.drop(e)
+		if e.state == StateSpare || e.state == StatePlaying {
+			l.finish(e)
 			continue
 		}
 		delete(l.byKey, e.key)
--- a/decide/once/once_test.go
+++ b/decide/once/once_test.go
@@ -113,6 +113,31 @@
 		{3, Event{Kind: Proven, Session: 1}, "forget s1; "}, {4, ask(2, 2, true), "begin s2; "}})
 }
 
+// A tied session outlives its connection for a stated time, in which it can be taken up again.
+func TestTies(t *testing.T) {
+	tied := func(w Waiter, s Session, paid bool) Event { ev := ask(w, s, paid); ev.Tied = true; return ev }
+	with := func() *Ledger { l := ledger(); l.cfg.TieMs = 500; return l }
+	begun := []step{{0, tied(1, 1, true), "begin s1; "}, {1, Event{Kind: Plays, Session: 1}, "play w1 s1; "},
+		{2, Event{Kind: Tie, Session: 1}, ""}, {5000, Event{Kind: Tick}, ""}, {6000, Event{Kind: Untie, Session: 1}, ""}}
+	run(t, "lapses", with(), append(begun[:5:5], []step{{6400, Event{Kind: Tick}, ""}, {6501, Event{Kind: Tick}, "end s1; "},
+		{6502, tied(2, 2, true), "fail w2 over; "}}...))
+	run(t, "taken up", with(), append(begun[:5:5], []step{{6400, tied(2, 2, true), "play w2 s1; "}, {6401, Event{Kind: Tie, Session: 1}, ""},
+		{9000, Event{Kind: Tick}, ""}}...))
+	run(t, "asked again and not held", with(), append(begun[:5:5], []step{{6400, tied(2, 2, true), "play w2 s1; "},
+		{6800, Event{Kind: Tick}, ""}, {6901, Event{Kind: Tick}, "end s1; "}}...))
+	run(t, "not tied", with(), []step{{0, ask(1, 1, true), "begin s1; "}, {1, Event{Kind: Plays, Session: 1}, "play w1 s1; "},
+		{2, Event{Kind: Tie, Session: 1}, ""}, {3, Event{Kind: Untie, Session: 1}, ""}, {9000, Event{Kind: Tick}, ""}})
+}
+
+func TestQuits(t *testing.T) {
+	quit := Event{Kind: Quit, Key: "j", Print: 1}
+	run(t, "plays", ledger(), []step{{0, ask(1, 1, true), "begin s1; "}, {1, Event{Kind: Plays, Session: 1}, "play w1 s1; "},
+		{2, Event{Kind: Quit, Key: "j", Print: 9}, ""}, {3, quit, "end s1; "}, {4, quit, ""}, {5, ask(2, 2, true), "fail w2 over; "}})
+	run(t, "out", ledger(), []step{{0, ask(1, 1, false), "begin s1; "}, {1, quit, "fail w1 over; withdraw s1; "},
+		{2, Event{Kind: Plays, Session: 1}, "end s1; forget s1; "}, {3, ask(2, 2, false), "begin s2; "}})
+	run(t, "nothing there", ledger(), []step{{0, quit, ""}})
+}
+
 func TestCaps(t *testing.T) {
 	l := ledger()
 	run(t, "crowd", l, []step{{0, ask(1, 1, true), "begin s1; "}, {0, ask(2, 2, true), ""}, {0, ask(3, 3, true), ""},
--- a/decide/retire/retire.go
+++ b/decide/retire/retire.go
@@ -12,6 +12,7 @@
 
 // Config has the times of the steps, ms.
 type Config struct {
+	NoticeMs float64 // new sessions are refused for so long before the door is closed, so that balancers see it
 	FinishMs float64 // for what is out; at least the longest give-up of a class, or answers are cut short
 	PlayMs   float64 // for sessions that play
 	EndMs    float64 // for the boxes to confirm ends
@@ -38,7 +39,8 @@
 
 // The actions.
 const (
-	StopTaking  Action = iota // close the listener, refuse new sessions on kept connections
+	StopTaking  Action = iota // refuse new sessions, and say so in checks
+	CloseDoor                 // take no further connections
 	FailWaiting               // answer all that still wait: failed, no promise
 	EndSessions               // end all sessions at their boxes
 	CutAll                    // cut all connections and leave
@@ -74,7 +76,8 @@
 		s.enter(now, Finishing)
 		out = append(out, StopTaking)
 	}
-	if s.phase == Finishing && (f.Waiting == 0 || now-s.since >= s.cfg.FinishMs) {
+	if s.phase == Finishing && (f.Waiting == 0 && now-s.since >= s.cfg.NoticeMs || now-s.since >= s.cfg.FinishMs) {
+		out = append(out, CloseDoor)
 		if f.Waiting > 0 { // rule: every request is answered, also by a director that leaves
 			out = append(out, FailWaiting)
 		}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -29,6 +29,8 @@
 	Ladder   Ladder   `toml:"ladder"`
 	Fleet    Fleet    `toml:"fleet"`
 	Attempts Attempts `toml:"attempts"`
+	Gate     Gate     `toml:"gate"`
+	Brands   []Brand  `toml:"brand"`
 	Classes  []Class  `toml:"class"`
 	Titles   []Title  `toml:"title"`
 	Log      Log      `toml:"log"`
@@ -40,11 +42,30 @@
 	Listen     string   `toml:"listen"`
 	Directors  []string `toml:"directors"` // names of all; alike at every director
 	URLs       []string `toml:"urls"`      // where viewers reach each, in the order of directors
+	Agent      string   `toml:"agent"`     // IPv4:PORT for balancers' agent checks; empty: none
 	Zone       int      `toml:"zone"`
 	Seed       uint64   `toml:"seed"`        // 0: drawn at the start
 	FirstStart bool     `toml:"first_start"` // no earlier run took tokens: see operate/director.md
 }
 
+// Gate sets what may come in before the module is asked: see docs/operate/limits.md.
+type Gate struct {
+	PassAll     bool    `toml:"pass_all"`
+	MinRetryMs  float64 `toml:"min_retry_ms"`
+	RememberMs  float64 `toml:"remember_ms"`
+	Wishes      int     `toml:"wishes"`
+	LagMs       float64 `toml:"lag_ms"`
+	Queue       float64 `toml:"queue"`
+	MemoryBytes float64 `toml:"memory_bytes"`
+}
+
+// Brand is one tenant's part.
+type Brand struct {
+	Name  string  `toml:"name"`
+	Share float64 `toml:"share"`
+	Most  float64 `toml:"most"`
+}
+
 // List names the list service.
 type List struct {
 	Addr    string  `toml:"addr"` // IPv4:PORT
@@ -80,6 +101,12 @@
 	ConnsPerBox   int `toml:"conns_per_box"`  // connections to a box in all
 	SessionsInAll int `toml:"sessions"`       // sessions of this director
 	CommandsABox  int `toml:"commands_a_box"` // rung changes and ends that wait for one box
+	OutputInAll   int `toml:"output_in_all"`  // bytes that may wait for all viewers together
+	Reports       int `toml:"reports"`        // bytes of players' reports that are kept
+	Message       int `toml:"message"`        // of a WebSocket message
+	SocketOpens   int `toml:"socket_opens"`   // requests that may be out on one WebSocket connection
+	SocketHolds   int `toml:"socket_holds"`   // sessions held by one WebSocket connection
+	Sockets       int `toml:"sockets"`        // sessions held by all of them
 }
 
 // Times has the time limits of connections and boxes.
@@ -97,6 +124,11 @@
 	PlayMs      float64 `toml:"play_ms"`
 	EndMs       float64 `toml:"end_ms"`
 	CommandMs   float64 `toml:"command_ms"`
+	PingMs      float64 `toml:"ping_ms"`   // a WebSocket connection that is silent so long is pinged
+	PongMs      float64 `toml:"pong_ms"`   // and cut if nothing comes for so long after that
+	TieMs       float64 `toml:"tie_ms"`    // how long a session outlives the WebSocket connection that held it
+	ReportMs    float64 `toml:"report_ms"` // agreed time between a player's reports on one session
+	NoticeMs    float64 `toml:"notice_ms"` // at a stop: new sessions are refused so long before the door is closed
 	MarginMs    float64 `toml:"margin_ms"` // an answer is given so long before the viewer gives up
 }
 
@@ -173,10 +205,12 @@
 		Tokens:   Tokens{SkewMs: 250, Cache: 8192, Queue: 1024},
 		Limits: Limits{Connections: 20000, Line: 4608, Head: 16384, Fields: 64, Body: 65536,
 			Output: 262144, Entries: 200000, Waiters: 8, Boxes: 1024, PoolPerBox: 64, EventBytes: 1 << 20,
-			ConnsPerBox: 512, SessionsInAll: 100000, CommandsABox: 4096},
+			ConnsPerBox: 512, SessionsInAll: 100000, CommandsABox: 4096, OutputInAll: 256 << 20, Reports: 16 << 20, Message: 16384,
+			SocketOpens: 16, SocketHolds: 64, Sockets: 100000},
+		Gate: Gate{MinRetryMs: 200, RememberMs: 30000, Wishes: 100000, LagMs: 100, Queue: 20000},
 		Times: Times{HeadMs: 5000, IdleMs: 60000, WriteMs: 10000, ConnectMs: 250, BoxIdleMs: 15000, LateMs: 10000,
 			HoldMs: 8000, BoxSilentMs: 3000, BoxLostMs: 4000, FinishMs: 6000, PlayMs: 10000, EndMs: 1000,
-			CommandMs: 2000, MarginMs: 25},
+			CommandMs: 2000, MarginMs: 25, PingMs: 20000, PongMs: 10000, TieMs: 15000, ReportMs: 5000, NoticeMs: 250},
 		Ladder:   Ladder{SegmentMs: 2000},
 		Fleet:    Fleet{Cells: 1, Racks: 1},
 		Attempts: Attempts{Max: 3, RetryAfter: true, MaxRetryAfterMs: 1000},
@@ -410,6 +444,14 @@
 		{"times.box_lost_ms", s.Times.BoxLostMs, 50}, {"times.finish_ms", s.Times.FinishMs, 0},
 		{"times.play_ms", s.Times.PlayMs, 0}, {"times.end_ms", s.Times.EndMs, 0},
 		{"times.command_ms", s.Times.CommandMs, 10}, {"times.margin_ms", s.Times.MarginMs, 0},
+		{"times.ping_ms", s.Times.PingMs, 50}, {"times.pong_ms", s.Times.PongMs, 50}, {"times.tie_ms", s.Times.TieMs, 0},
+		{"times.report_ms", s.Times.ReportMs, 1}, {"times.notice_ms", s.Times.NoticeMs, 0},
+		{"limits.output_in_all", float64(s.Limits.OutputInAll), 65536}, {"limits.reports", float64(s.Limits.Reports), 0},
+		{"limits.message", float64(s.Limits.Message), 1024}, {"limits.socket_opens", float64(s.Limits.SocketOpens), 1},
+		{"limits.socket_holds", float64(s.Limits.SocketHolds), 1}, {"limits.sockets", float64(s.Limits.Sockets), 1},
+		{"gate.min_retry_ms", s.Gate.MinRetryMs, 0}, {"gate.remember_ms", s.Gate.RememberMs, 0},
+		{"gate.wishes", float64(s.Gate.Wishes), 1}, {"gate.lag_ms", s.Gate.LagMs, 1}, {"gate.queue", s.Gate.Queue, 1},
+		{"gate.memory_bytes", s.Gate.MemoryBytes, 0},
 		{"ladder.segment_ms", s.Ladder.SegmentMs, 100}, {"ladder.switch_s", s.Ladder.SwitchS, 0},
 		{"fleet.cells", float64(s.Fleet.Cells), 1}, {"fleet.racks", float64(s.Fleet.Racks), 1},
 		{"fleet.link_unit_kb", s.Fleet.LinkUnitKB, 0}, {"fleet.all_links_kb", s.Fleet.AllLinksKB, 0},
@@ -425,6 +467,21 @@
 	if s.Limits.Line > s.Limits.Head {
 		c.bad("limits.line", "%d is over limits.head, %d", s.Limits.Line, s.Limits.Head)
 	}
+	if d.Agent != "" {
+		c.addr("director.agent", d.Agent, true)
+	}
+	brands := map[string]bool{}
+	for i, b := range s.Brands {
+		at := fmt.Sprintf("brand[%d].", i)
+		if b.Name == "" || brands[b.Name] {
+			c.bad(at+"name", "%q must be a name of its own", b.Name)
+		}
+		brands[b.Name] = true
+		c.atLeast(at+"share", b.Share, 0)
+		if !(b.Most >= 0) || b.Most > 1 {
+			c.bad(at+"most", "%v must be a part from 0 (no cap) to 1", b.Most)
+		}
+	}
 	c.ladder()
 	c.classes()
 	c.titles()
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -19,6 +19,7 @@
 	"fmt"
 	"log/slog"
 	"runtime"
+	"runtime/metrics"
 	"strings"
 	"time"
 
@@ -27,12 +28,14 @@
 	"headmill"
 	"headmill/decide/boxes"
 	"headmill/decide/fleet"
+	"headmill/decide/limits"
 	"headmill/decide/once"
 	"headmill/decide/retire"
 	"headmill/internal/config"
 	"headmill/internal/http1"
 	"headmill/internal/loop"
 	"headmill/internal/token"
+	"headmill/internal/ws"
 )
 
 const tickMs = 50 // ms between looks at time limits and at the ledgers' own times
@@ -48,6 +51,7 @@
 type Stats struct {
 	Asked, Played, Refused, Failed, Denied, Elsewhere uint64
 	Attempts, Lost, Late, Orphans, Lists, CutSlow     uint64
+	Shed, Checks, ReportsTaken, ReportsDropped        uint64
 }
 
 // Director is one director. All methods but Post-safe Stop are for the loop's goroutine.
@@ -59,14 +63,16 @@
 	seed   uint64
 	listen *loop.Listener
 
-	module *headmill.Controller
-	ledger *once.Ledger
-	watch  *boxes.Watch
-	fleet  *fleet.List
-	stop   *retire.Stop
-	check  *token.Checker
-	pool   *token.Pool
-	titles map[string]*title
+	module   *headmill.Controller
+	ledger   *once.Ledger
+	watch    *boxes.Watch
+	fleet    *fleet.List
+	stop     *retire.Stop
+	gate     *limits.Gate
+	accounts limits.Accounts
+	check    *token.Checker
+	pool     *token.Pool
+	titles   map[string]*title
 
 	// What waits for the decision modules, in the order in which it was seen.
 	moduleIn []headmill.Event
@@ -80,7 +86,8 @@
 
 	sessions map[once.Session]*session
 	viewers  map[*viewer]struct{}
-	waiters  map[once.Waiter]*viewer
+	waiters  map[once.Waiter]*order
+	sockets  map[*socket]struct{}
 	boxes    map[headmill.ServerID]*box
 	list     listClient
 
@@ -89,8 +96,14 @@
 	parsers      []*http1.Parser
 	scratch      []byte
 	body         []byte
+	saidFull     float64
+	agentAddr    string
+	memory       []metrics.Sample
 	nextSweep    float64
 	nextBoxSweep float64
+	nextSockets  float64
+	nextMeasure  float64
+	batch        int // events handed over since the load was last measured
 	ending       int
 	asked        bool
 	hurry        bool
@@ -107,7 +120,7 @@
 	}
 	d := &Director{cfg: cfg, l: l, log: log, boot: fmt.Sprintf("%08x", b[8:]), seed: cfg.Director.Seed,
 		titles: map[string]*title{}, sessions: map[once.Session]*session{}, viewers: map[*viewer]struct{}{},
-		waiters: map[once.Waiter]*viewer{}, boxes: map[headmill.ServerID]*box{}}
+		waiters: map[once.Waiter]*order{}, sockets: map[*socket]struct{}{}, boxes: map[headmill.ServerID]*box{}}
 	if d.seed == 0 {
 		d.seed = binary.LittleEndian.Uint64(b[:])
 	}
@@ -126,14 +139,15 @@
 	}
 	d.pool = token.NewPool(workers, cfg.Tokens.Queue, l.Post)
 	d.ledger = once.New(once.Config{Me: max(cfg.Me(), 0), Directors: cfg.Director.Directors,
-		MaxEntries: cfg.Limits.Entries, MaxWaiters: cfg.Limits.Waiters, HoldMs: cfg.Times.HoldMs,
+		MaxEntries: cfg.Limits.Entries, MaxWaiters: cfg.Limits.Waiters, HoldMs: cfg.Times.HoldMs, TieMs: cfg.Times.TieMs,
 		SkewMs: cfg.Tokens.SkewMs, RetryMs: cfg.Attempts.MaxRetryAfterMs, UnprovenMs: cfg.Times.LateMs,
 		StartedMs: l.Now(), FirstStart: cfg.Director.FirstStart, SharedPaid: len(cfg.Director.Directors) > 1})
+	d.setGate()
 	t := &cfg.Times
 	d.watch = boxes.New(boxes.Config{SilentMs: t.BoxSilentMs, LostMs: t.BoxLostMs, RetryMs: 100, MaxRetry: 1000,
 		IdleMs: t.BoxIdleMs, OpenMs: t.BoxSilentMs})
 	d.fleet = fleet.New(fleet.Config{MaxBoxes: cfg.Limits.Boxes, Cells: cfg.Fleet.Cells, Kinds: len(cfg.Fleet.Places)})
-	d.stop = retire.New(retire.Config{FinishMs: t.FinishMs, PlayMs: t.PlayMs, EndMs: t.EndMs})
+	d.stop = retire.New(retire.Config{NoticeMs: t.NoticeMs, FinishMs: t.FinishMs, PlayMs: t.PlayMs, EndMs: t.EndMs})
 	d.list.d = d
 	return d, nil
 }
@@ -151,6 +165,9 @@
 		return err
 	}
 	d.listen = ln
+	if err := d.listenAgent(); err != nil {
+		return err
+	}
 	d.list.connect()
 	d.l.OnRound(d.flush)
 	d.tick()
@@ -192,6 +209,8 @@
 	d.ledgerIn = append(d.ledgerIn, once.Event{Kind: once.Tick})
 	d.watchIn = append(d.watchIn, boxes.Event{Kind: boxes.Tick})
 	d.sweepViewers()
+	d.sweepSockets()
+	d.measure()
 	d.sweepBoxes()
 	d.list.sweep()
 	d.retire()
@@ -213,11 +232,12 @@
 		d.log.Info("stopping", "phase", d.stop.Phase().String(), "waiting", len(d.waiters), "playing", playing)
 		switch a {
 		case retire.StopTaking:
-			d.listen.Close()
 			d.ledger.Stop()
 			for v := range d.viewers {
 				v.lastCall()
 			}
+		case retire.CloseDoor:
+			d.listen.Close()
 		case retire.FailWaiting:
 			for id := range d.sessions {
 				d.ledgerIn = append(d.ledgerIn, once.Event{Kind: once.Failed, Session: id, Why: once.ReasonStop})
@@ -233,6 +253,9 @@
 			for v := range d.viewers {
 				v.c.End()
 			}
+			for k := range d.sockets {
+				k.close(ws.GoingAway, "this director is leaving")
+			}
 			go d.pool.Close()
 			if d.Done != nil {
 				d.Done()
--- a/internal/director/front.go
+++ b/internal/director/front.go
@@ -6,9 +6,7 @@
 	"net/url"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
-
-	"headmill/decide/once"
+	"headmill/decide/limits"
 	"headmill/decide/retire"
 	"headmill/internal/http1"
 	"headmill/internal/loop"
@@ -30,11 +28,9 @@
 	d        *Director
 	c        *loop.Conn
 	p        *http1.Parser
-	rest     []byte // what was pipelined behind the request that is out
-	claims   claims
-	title    *title
-	waiter   once.Waiter
-	since    float64 // when the request was whole
+	rest     []byte  // what was pipelined behind the request that is out
+	order    *order  // the request that is owed a result
+	sock     *socket // what the connection became
 	deadline float64 // of the present state; the sweep cuts what is over it
 	state    viewerState
 	keep     bool // the connection goes on after the answer
@@ -42,8 +38,11 @@
 }
 
 func (d *Director) accept(c *loop.Conn) loop.Handler {
-	if len(d.viewers) >= d.cfg.Limits.Connections {
-		d.log.Warn("connection closed at once: limits.connections is reached", "connections", len(d.viewers))
+	if !d.accounts.Take(limits.Connections, 1) {
+		if now := d.l.Now(); now-d.saidFull > 2000 {
+			d.saidFull = now
+			d.log.Warn("connections closed at once: limits.connections is reached", "connections", d.accounts.Of(limits.Connections).Used)
+		}
 		return nil
 	}
 	v := &viewer{d: d, c: c, deadline: d.l.Now() + d.cfg.Times.IdleMs}
@@ -69,10 +68,9 @@
 		d.stats.CutSlow++
 	}
 	delete(d.viewers, v)
+	d.accounts.Give(limits.Connections, 1)
 	if v.state == awaiting {
-		delete(d.waiters, v.waiter)
-		d.ledgerIn = append(d.ledgerIn, once.Event{Kind: once.Left, Waiter: v.waiter})
-		d.final(v, nil, "viewer left", 0, "")
+		d.leave(v.order)
 	}
 	v.release()
 }
@@ -128,6 +126,12 @@
 			return
 		}
 		v.request()
+		if v.sock != nil {
+			if len(b) > 0 {
+				v.sock.Data(v.c, b)
+			}
+			return
+		}
 		if v.state >= checking {
 			if len(b) > 0 {
 				v.rest = append(v.rest[:0], b...)
@@ -152,7 +156,6 @@
 func (v *viewer) request() {
 	d, m := v.d, &v.p.Msg
 	v.keep = !m.Close && d.stop.Phase() == retire.Serving
-	v.since = d.l.Now()
 	path, query, _ := strings.Cut(string(m.Target), "?")
 	method := string(m.Method)
 	switch {
@@ -161,7 +164,7 @@
 	case method == "OPTIONS":
 		v.preflight()
 	case strings.HasPrefix(path, "/dash/") && strings.HasSuffix(path, "/manifest.mpd"):
-		if method != "GET" { // also HEAD: it would have to begin a session without showing it
+		if method != "GET" && method != "DELETE" { // also HEAD: it would have to begin a session without showing it
 			v.notAllowed()
 			return
 		}
@@ -170,15 +173,16 @@
 			v.problem(400, "malformed", "the title in the path is not percent-encoded rightly", 0)
 			return
 		}
-		v.manifest(name, query)
+		v.manifest(name, query, method == "DELETE")
+	case path == "/session":
+		v.upgrade(method)
 	default:
 		v.problem(404, "no-such-page", "manifests are at /dash/TITLE/manifest.mpd", 0)
 	}
 }
 
-// manifest checks the token and asks the ledger.
-func (v *viewer) manifest(name, query string) {
-	d := v.d
+// manifest checks the token and places an order, or ends the session.
+func (v *viewer) manifest(name, query string, end bool) {
 	raw := bearer(v.p.Msg.Get("authorization"))
 	if raw == "" {
 		q, err := url.ParseQuery(query)
@@ -190,13 +194,38 @@
 			raw = q.Get("access_token") // RFC 6750 2.3
 		}
 	}
+	v.withToken(raw, func(c *token.Claims) {
+		d := v.d
+		t, no := d.wanted(name, c)
+		switch {
+		case no != nil:
+			v.deny(no)
+		case end && d.quit(c):
+			v.write(append(v.head(204), "\r\n"...))
+		case end:
+			v.problem(404, "no-such-session", "no session of this token plays or is being set up here", 0)
+		default:
+			v.state, v.order = awaiting, &order{front: v}
+			d.place(v.order, t, raw, c)
+		}
+	})
+}
+
+// withToken has a token's signature checked, perhaps beside the loop, and goes on with its claims. What was
+// pipelined behind the request waits meanwhile.
+func (v *viewer) withToken(raw string, use func(*token.Claims)) {
+	d := v.d
 	v.state, v.deadline = checking, 0
 	direct := true
 	if !d.check.Begin(d.pool, raw, func(c *token.Claims, err error) {
-		if !v.c.Open() { // it left meanwhile: nothing has begun for it
+		if !v.c.Open() || v.state != checking { // it left meanwhile: nothing has begun for it
 			return
 		}
-		v.asks(name, raw, c, err)
+		if err != nil {
+			v.deny(unauthorized(err))
+		} else {
+			use(c)
+		}
 		if !direct && v.state == resting {
 			v.next()
 		}
@@ -208,51 +237,9 @@
 	direct = false
 }
 
-// asks takes a request whose token has been checked.
-func (v *viewer) asks(name, raw string, c *token.Claims, err error) {
-	d := v.d
-	now := d.wall()
-	if err == nil {
-		err = d.check.Valid(c, now)
-	}
-	if err != nil {
-		d.stats.Denied++
-		v.unauthorized(err)
-		return
-	}
-	t := d.titles[name]
-	switch {
-	case c.Title != name:
-		d.stats.Denied++
-		v.problem(403, "wrong-title", "the session token is for another title", 0)
-		return
-	case t == nil:
-		v.problem(404, "no-such-title", "the catalogue has no title of this name", 0)
-		return
-	case c.Class != t.Class:
-		d.stats.Denied++
-		v.problem(403, "wrong-class", "the session token is for another class than the title's", 0)
-		return
-	case c.Top < d.cfg.Classes[t.class].Floor:
-		d.stats.Denied++
-		v.problem(403, "under-floor", "the viewer's highest rung is under the floor of the class", 0)
-		return
-	}
-	d.lastWaiter++
-	d.lastSession++
-	v.waiter, v.state, v.title = d.lastWaiter, awaiting, t
-	v.claims = claims{raw: strings.Clone(raw), id: c.ID, viewer: c.Subject, brand: c.Brand, top: c.Top}
-	v.deadline = 0
-	d.waiters[v.waiter] = v
-	d.stats.Asked++
-	if _, _, known := d.ledger.Lookup(c.ID); !known && len(d.sessions) >= d.cfg.Limits.SessionsInAll {
-		d.refuse(v, once.Action{Reason: once.ReasonFull, RetryMs: d.cfg.Attempts.MaxRetryAfterMs})
-		return
-	}
-	d.ledgerIn = append(d.ledgerIn, once.Event{Kind: once.Ask, Waiter: v.waiter, Key: c.ID,
-		Print: xxhash.Sum64String(c.Title + "\x00" + c.Class + "\x00" + c.Subject),
-		Paid:  d.cfg.Classes[t.class].Repeat == "once", AgeMs: c.AgeMs(now), LeftMs: c.LeftMs(now),
-		Session: d.lastSession})
+func (v *viewer) deny(no *denial) {
+	v.d.stats.Denied++
+	v.problem(no.status, no.kind, no.detail, 0)
 }
 
 func bearer(v []byte) string {
@@ -292,8 +279,8 @@
 	}
 }
 
-// unauthorized answers a token that is not taken (RFC 6750 section 3).
-func (v *viewer) unauthorized(err error) {
+// unauthorized says why a token is not taken (RFC 6750 section 3).
+func unauthorized(err error) *denial {
 	why := "invalid-token"
 	switch {
 	case errors.Is(err, token.ErrMissing):
@@ -303,5 +290,5 @@
 	case errors.Is(err, token.ErrKey):
 		why = "unknown-key"
 	}
-	v.problem(401, why, err.Error(), 0)
+	return &denial{401, why, err.Error()}
 }
--- /dev/null
+++ b/internal/director/limits.go
@@ -0,0 +1,104 @@
+package director
+
+import (
+	"runtime/metrics"
+
+	"headmill/decide/limits"
+	"headmill/internal/config"
+	"headmill/internal/loop"
+)
+
+// setGate makes the gate and the accounts out of the settings.
+func (d *Director) setGate() {
+	c := &d.cfg.Gate
+	g := limits.Config{MinRetryMs: min(c.MinRetryMs, d.cfg.Attempts.MaxRetryAfterMs), MaxRetryMs: d.cfg.Attempts.MaxRetryAfterMs,
+		RememberMs: c.RememberMs, MaxWishes: c.Wishes, LagMs: c.LagMs, Queue: c.Queue, MemoryBytes: c.MemoryBytes, PassAll: c.PassAll,
+		Brands: brands(d.cfg)}
+	if !d.cfg.Attempts.RetryAfter {
+		g.MaxRetryMs = 0
+	}
+	for i := range d.cfg.Classes {
+		g.Values = append(g.Values, d.cfg.Classes[i].Value)
+	}
+	d.gate = limits.New(g, d.seed)
+	d.setCaps()
+	d.memory = []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+}
+
+func brands(cfg *config.Settings) []limits.Brand {
+	var out []limits.Brand
+	for _, b := range cfg.Brands {
+		out = append(out, limits.Brand{Name: b.Name, Share: b.Share, Most: b.Most})
+	}
+	if len(out) > 0 { // names that are not listed have no part of their own: they live on loans
+		out = append(out, limits.Brand{Name: ""})
+	}
+	return out
+}
+
+func (d *Director) setCaps() {
+	l := &d.cfg.Limits
+	for p, n := range map[limits.Purpose]int{limits.Sessions: l.SessionsInAll, limits.Connections: l.Connections,
+		limits.Ledger: l.Entries, limits.Reports: l.Reports, limits.Outgoing: l.OutputInAll, limits.Sockets: l.Sockets} {
+		d.accounts.SetCap(p, int64(n))
+	}
+}
+
+// Reload takes the limits and the brands of new settings while the director runs. A cap below what is in use
+// takes nothing away.
+func (d *Director) Reload(cfg *config.Settings) {
+	d.cfg.Limits, d.cfg.Brands = cfg.Limits, cfg.Brands
+	d.setCaps()
+	if b := brands(d.cfg); len(b) > 0 {
+		d.gate.SetBrands(b)
+	}
+}
+
+// Accounts returns the memory accounts. For the loop's goroutine.
+func (d *Director) Accounts() *limits.Accounts { return &d.accounts }
+
+// measure tells the gate the director's own load, and cuts the connections that let most wait while all
+// together let more wait than the cap.
+func (d *Director) measure() {
+	now := d.l.Now()
+	if now < d.nextMeasure {
+		return
+	}
+	d.nextMeasure = now + 250
+	ev := limits.Event{Kind: limits.Load, LagMs: d.l.WorstLag(), Queue: float64(d.batch)}
+	d.batch = 0
+	if d.cfg.Gate.MemoryBytes > 0 {
+		metrics.Read(d.memory)
+		ev.MemoryBytes = float64(d.memory[0].Value.Uint64())
+	}
+	d.gate.Step(now, []limits.Event{ev}, nil)
+	d.accounts.Set(limits.Ledger, int64(d.ledger.Entries()))
+	waits, worst := 0, (*loop.Conn)(nil)
+	look := func(c *loop.Conn) {
+		n := c.Pending()
+		if waits += n; n > 0 && (worst == nil || n > worst.Pending()) {
+			worst = c
+		}
+	}
+	for v := range d.viewers {
+		look(v.c)
+	}
+	for k := range d.sockets {
+		look(k.c)
+	}
+	for !d.accounts.Set(limits.Outgoing, int64(waits)) && worst != nil {
+		waits -= worst.Pending()
+		worst.Close(loop.ErrSlowReader)
+		worst = nil
+		for v := range d.viewers {
+			if v.c.Open() && v.c.Pending() > 0 && (worst == nil || v.c.Pending() > worst.Pending()) {
+				worst = v.c
+			}
+		}
+		for k := range d.sockets {
+			if k.c.Open() && k.c.Pending() > 0 && (worst == nil || k.c.Pending() > worst.Pending()) {
+				worst = k.c
+			}
+		}
+	}
+}
--- a/internal/http1/parser.go
+++ b/internal/http1/parser.go
@@ -481,6 +481,9 @@
 	return n, true
 }
 
+// HasWord finds a word in a comma-separated list; the word is given in lower case.
+func HasWord(list []byte, word string) bool { return hasWord(list, word) }
+
 // hasWord finds a word in a comma-separated list; the word is given in lower case.
 func hasWord(list []byte, word string) bool {
 	for len(list) > 0 {
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -109,6 +109,9 @@
 // Loop is the loop that serves c.
 func (c *Conn) Loop() *Loop { return c.l }
 
+// SetHandler hands the connection to another owner, as at a change of protocol.
+func (c *Conn) SetHandler(h Handler) { c.h = h }
+
 // Peer is the other side's address.
 func (c *Conn) Peer() string { return format(c.peer) }
 
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -49,6 +49,7 @@
 	events   []unix.EpollEvent
 	dead     []*Conn // closed in this round: told after the round's events
 	lag      float64
+	worst    float64
 	round    func()
 
 	mu     sync.Mutex
@@ -91,6 +92,13 @@
 // Lag is how many ms the last round's work took: what a new event waited at most.
 func (l *Loop) Lag() float64 { return l.lag }
 
+// WorstLag is the longest round, in ms, since it was last asked.
+func (l *Loop) WorstLag() float64 {
+	w := l.worst
+	l.worst = 0
+	return w
+}
+
 // Conns is the number of open connections.
 func (l *Loop) Conns() int { return len(l.slots) }
 
@@ -205,6 +213,7 @@
 		}
 		l.tick()
 		l.lag = l.now - began
+		l.worst = max(l.worst, l.lag)
 	}
 }
 
@@ -353,11 +362,12 @@
 		}
 		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
 		c := &Conn{l: s.l, fd: fd, state: open, peer: sa}
-		if c.h = s.take(c); c.h == nil {
+		h := s.take(c)
+		if h == nil {
 			unix.Close(fd)
 			continue
 		}
-		if c.fd >= 0 {
+		if c.h = h; c.fd >= 0 {
 			c.register()
 		}
 	}
