Rehearsal over both fronts, rushes and floods; the auditor reads the session API

The auditor reads frames and messages by itself, counts first tries, rushes, returns and worth by brand.

--- a/cmd/headmill/rehearse.go
+++ b/cmd/headmill/rehearse.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -20,6 +22,7 @@
 	Rate    float64 `help:"New viewers a second, over the script's."`
 	Seconds float64 `help:"Length, over the script's; troubles keep their places as far as they fit."`
 	State   string  `help:"Folder for settings, keys and logs; a new one under the temporary folder otherwise."`
+	Gate    string  `help:"\"off\" makes the directors' limits pass all, for comparison." enum:"on,off," default:""`
 	Print   bool    `help:"Print the built-in script and stop."`
 }
 
@@ -50,6 +53,9 @@
 	if c.Seconds > 0 {
 		s.Cut(c.Seconds)
 	}
+	if c.Gate != "" {
+		s.Gate = c.Gate
+	}
 	dir, err := stateDir(c.State)
 	if err != nil {
 		return err
@@ -80,6 +86,8 @@
 	return nil
 }
 
+func sortedKeys(m map[string]float64) []string { return slices.Sorted(maps.Keys(m)) }
+
 func table(rep *audit.Report, r *rehearse.Run, took time.Duration, dir string) {
 	fmt.Println()
 	w := tabwriter.NewWriter(os.Stdout, 2, 8, 2, ' ', 0)
@@ -108,6 +116,11 @@
 	row("  6 attempts over the ration", rep.RationExceeded, verdict(rep.RationExceeded))
 	row("worth in time", rep.WorthInTime, "of what was wanted (stand-in boxes)")
 	row("set-up, ms", fmt.Sprintf("%.1f / %.1f", rep.SetupP50, rep.SetupP99), "p50 / p99, as the viewer's relay saw it")
+	row("first tries", rep.FirstTries, fmt.Sprintf("%d played in time; %d of all requests over the session API", rep.FirstInTime, rep.Sockets))
+	row("rush and returns, a second", fmt.Sprintf("%.0f / %.0f", rep.RushPerS, rep.ReturnsPerS), "most first tries, most tries of viewers refused before")
+	for _, b := range sortedKeys(rep.WorthByBrand) {
+		row("worth in time, "+b, rep.WorthByBrand[b], "")
+	}
 	row("sessions a second", rep.SessionsPerS, fmt.Sprintf("%d set-ups sent", rep.Setups))
 	for i, ms := range r.CPU {
 		row(fmt.Sprintf("director %d, CPU ms", i), ms, "over the process's life")
--- a/internal/audit/judge.go
+++ b/internal/audit/judge.go
@@ -80,6 +80,13 @@
 	Elsewhere      int     `json:"elsewhere"`
 	Denied         int     `json:"denied"`
 	Setups         int     `json:"setups"`
+	Sockets        int     `json:"socket_opens"` // of asked, those over the session API
+	FirstTries     int     `json:"first_tries"`
+	FirstInTime    int     `json:"first_tries_in_time"`
+	RushPerS       float64 `json:"rush_per_s"`    // most first tries in a second
+	ReturnsPerS    float64 `json:"returns_per_s"` // most tries in a second of viewers that were refused before
+
+	WorthByBrand map[string]float64 `json:"worth_by_brand,omitempty"`
 	// Broken describes each broken rule, the first 50.
 	Broken []string `json:"broken,omitempty"`
 }
@@ -286,71 +293,76 @@
 	wishes := map[string]*wish{}
 	var times []float64
 	first, last := never, 0.0
-	for _, c := range j.conns {
-		if strings.Contains(c.tap, "/") || !strings.HasPrefix(c.tap, "d") {
+	turned := map[string]bool{} // viewers whose last try was refused
+	var firsts, repeats []float64
+	for _, r := range j.asked() {
+		cl, k := r.claims, j.Classes[r.claims.Class]
+		j.rep.Asked++
+		j.asks[r.tap] = append(j.asks[r.tap], r.whole)
+		first, last = math.Min(first, r.whole), math.Max(last, r.whole)
+		w := wishes[cl.Sub]
+		fresh := w == nil && cl.Sub != ""
+		if fresh {
+			w = &wish{at: r.whole, c: cl, got: map[string]float64{}}
+			wishes[cl.Sub] = w
+			firsts = append(firsts, r.whole)
+			j.rep.FirstTries++
+		} else if turned[cl.Sub] {
+			repeats = append(repeats, r.whole)
+		}
+		turned[cl.Sub] = r.status == 503
+		limit := r.whole + k.GiveUpMs + j.SlackMs
+		switch {
+		case r.status == 0 && r.left <= math.Min(r.ended, limit):
+			j.rep.Left++
+			continue
+		case r.status == 0 && j.killed(r.tap, r.whole-raceMs, limit):
+			j.rep.LostWith++
+			continue
+		case r.status == 0:
+			j.rep.broke(&j.rep.Unanswered, "%s: %s of %s at %.0f ms: no answer", r.tap, r.path, cl.JTI, r.whole)
+			continue
+		case r.answered > limit:
+			j.rep.broke(&j.rep.Unanswered, "%s: %s of %s: answered after %.0f ms, over the viewer's time", r.tap, r.path,
+				cl.JTI, r.answered-r.whole)
 			continue
 		}
-		reqs, extra := c.requests()
-		if extra > 0 {
-			j.rep.broke(&j.rep.AnsweredTwice, "%s: %d answers that nobody asked for", c.tap, extra)
-		}
-		for _, r := range reqs {
-			if r.method != "GET" || !strings.HasPrefix(r.path, "/dash/") || math.IsInf(r.whole, 1) {
-				continue
+		j.rep.AnsweredOnce++
+		inTime := r.answered-r.whole <= k.AimMs
+		switch {
+		case r.status == 200:
+			j.rep.Plays++
+			times = append(times, r.answered-r.whole)
+			if fresh && inTime {
+				j.rep.FirstInTime++
 			}
-			cl, ok := readToken(r)
-			k := j.Classes[cl.Class]
-			j.rep.Asked++
-			j.asks[c.tap] = append(j.asks[c.tap], r.whole)
-			first, last = math.Min(first, r.whole), math.Max(last, r.whole)
-			w := wishes[cl.Sub]
-			if ok && w == nil {
-				w = &wish{at: r.whole, c: cl, got: map[string]float64{}}
-				wishes[cl.Sub] = w
-			}
-			if w != nil {
-				w.at = math.Min(w.at, r.whole)
+			if name := sessionOf(r.body); w != nil && name != "" {
+				if _, had := w.got[name]; !had && inTime {
+					w.got[name] = r.answered
+				}
 			}
-			limit := r.whole + k.GiveUpMs + j.SlackMs
-			switch {
-			case r.status == 0 && c.forth.end <= math.Min(c.back.end, limit):
-				j.rep.Left++
-				continue
-			case r.status == 0 && j.killed(c.tap, r.whole-raceMs, limit):
-				j.rep.LostWith++
-				continue
-			case r.status == 0:
-				j.rep.broke(&j.rep.Unanswered, "%s: %s of %s: no answer", c.tap, r.path, cl.JTI)
-				continue
-			case r.answered > limit:
-				j.rep.broke(&j.rep.Unanswered, "%s: %s of %s: answered after %.0f ms, over the viewer's time", c.tap, r.path,
-					cl.JTI, r.answered-r.whole)
-				continue
+		case r.status == 503:
+			j.rep.Refused++
+			if k.Once {
+				j.refusal(r.tap, r.answered, cl)
 			}
-			j.rep.AnsweredOnce++
-			switch {
-			case r.status == 200:
-				j.rep.Plays++
-				times = append(times, r.answered-r.whole)
-				if name := sessionOf(r.body); w != nil && name != "" {
-					if _, had := w.got[name]; !had && r.answered-r.whole <= k.AimMs {
-						w.got[name] = r.answered
-					}
-				}
-			case r.status == 503:
-				j.rep.Refused++
-				if k.Once {
-					j.refusal(r, cl)
-				}
-			case r.status == 307:
-				j.rep.Elsewhere++
-			case r.status >= 500 || r.status == 410 || r.status == 409 || r.status == 429:
-				j.rep.Failed++
-			default:
-				j.rep.Denied++
+		case r.status == 307:
+			j.rep.Elsewhere++
+			if fresh { // its first try is the one that follows the way shown
+				delete(wishes, cl.Sub)
+				firsts = firsts[:len(firsts)-1]
+				j.rep.FirstTries--
 			}
+		case r.status >= 500 || r.status == 410 || r.status == 409 || r.status == 429:
+			j.rep.Failed++
+		default:
+			j.rep.Denied++
 		}
 	}
+	if p := peak(firsts); p > 0 {
+		j.rep.RushPerS, j.rep.ReturnsPerS = p, peak(repeats)
+	}
+	byBrand := map[string][2]float64{}
 	wanted, earned := 0.0, 0.0
 	names := make([]string, 0, len(wishes))
 	for sub := range wishes {
@@ -361,12 +373,25 @@
 		w := wishes[sub]
 		k, end := j.Classes[w.c.Class], w.at+j.Titles[w.c.Title].DurationMs
 		top := min(w.c.Top, len(j.Worth)-1)
+		brand := byBrand[w.c.Brand]
+		brand[1] += (end - w.at) * k.Value * j.Worth[top]
 		wanted += (end - w.at) * k.Value * j.Worth[top]
 		for name, at := range w.got {
 			if h := j.held[name]; h != nil {
-				earned += j.worth(h, at, end) * k.Value
+				got := j.worth(h, at, end) * k.Value
+				earned += got
+				brand[0] += got
 			}
 		}
+		byBrand[w.c.Brand] = brand
+	}
+	for name, b := range byBrand {
+		if b[1] > 0 {
+			if j.rep.WorthByBrand == nil {
+				j.rep.WorthByBrand = map[string]float64{}
+			}
+			j.rep.WorthByBrand[name] = math.Round(b[0]/b[1]*1000) / 1000
+		}
 	}
 	if wanted > 0 {
 		j.rep.WorthInTime = math.Round(earned/wanted*1000) / 1000
@@ -381,6 +406,19 @@
 	}
 }
 
+// peak is the largest number of times within one second.
+func peak(at []float64) float64 {
+	sort.Float64s(at)
+	most, from := 0, 0
+	for i := range at {
+		for at[i]-at[from] >= 1000 {
+			from++
+		}
+		most = max(most, i-from+1)
+	}
+	return float64(most)
+}
+
 // worth adds up what a session earned between two times, ms of worth 1.
 func (j *judge) worth(h *held, from, to float64) float64 {
 	from, to = math.Max(from, h.from), math.Min(to, h.to)
@@ -416,10 +454,10 @@
 }
 
 // refusal checks that a paid session is only refused where nothing of it can have run.
-func (j *judge) refusal(r *request, c claims) {
+func (j *judge) refusal(at string, answered float64, c claims) {
 	for _, s := range j.setups {
-		if s.jti == c.JTI && s.first < r.answered && !(s.neverRan && s.answered <= r.answered+raceMs) {
-			j.rep.broke(&j.rep.WrongRefusals, "%s: paid %s refused, though its set-up at %s may have run", r.conn.tap, c.JTI, s.box)
+		if s.jti == c.JTI && s.first < answered && !(s.neverRan && s.answered <= answered+raceMs) {
+			j.rep.broke(&j.rep.WrongRefusals, "%s: paid %s refused, though its set-up at %s may have run", at, c.JTI, s.box)
 			return
 		}
 	}
--- a/internal/audit/judge_test.go
+++ b/internal/audit/judge_test.go
@@ -7,6 +7,9 @@
 	"strings"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
+
+	pb "headmill/internal/api/sessionv1"
 	"headmill/internal/standin/tap"
 )
 
@@ -187,6 +190,71 @@
 	}
 }
 
+// client is a masked binary frame, server one that is not.
+func client(m *pb.ClientMessage) string {
+	b, _ := proto.Marshal(m)
+	out := []byte{0x82, 0x80 | byte(126), byte(len(b) >> 8), byte(len(b)), 1, 2, 3, 4}
+	for i, x := range b {
+		out = append(out, x^byte(i&3+1))
+	}
+	return string(out)
+}
+
+func server(m *pb.ServerMessage) string {
+	b, _ := proto.Marshal(m)
+	return string(append([]byte{0x82, byte(len(b))}, b...))
+}
+
+// The session API is judged as the manifest path is.
+func TestSessionAPI(t *testing.T) {
+	open := client(&pb.ClientMessage{Id: 1, Body: &pb.ClientMessage_Open{Open: &pb.Open{Token: raw("v-j2", "j2", "paid")}}})
+	up := "GET /session HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + raw("v", "own", "free") + "\r\n\r\n" + open
+	back := "HTTP/1.1 101 Switching Protocols\r\n\r\n"
+	refused := server(&pb.ServerMessage{Id: 1, Body: &pb.ServerMessage_Refused{Refused: &pb.Refused{}}})
+	for name, c := range map[string]struct {
+		back  string
+		setup bool
+		count func(r *Report) int
+	}{
+		"kept":        {back + refused, false, nil},
+		"no answer":   {back, false, func(r *Report) int { return r.Unanswered }},
+		"two answers": {back + refused + refused, false, func(r *Report) int { return r.AnsweredTwice }},
+		"an answer too many": {back + refused + server(&pb.ServerMessage{Id: 9, Body: &pb.ServerMessage_Refused{Refused: &pb.Refused{}}}), false,
+			func(r *Report) int { return r.AnsweredTwice }},
+		"paid refused though it may have run": {back + refused, true, func(r *Report) int { return r.WrongRefusals }},
+	} {
+		r := day()
+		if c.setup {
+			r.add(tap.BackEnd, 320, "b0", r.pass("b0", 305, put("d0.2", "j2", "paid", 0), 0, ""), "")
+		}
+		r.pass("d0", 300, up, 330, c.back)
+		rep := judged(r)
+		if rep.Sockets != 1 || rep.Asked != 2 {
+			t.Fatalf("%s: %+v", name, rep)
+		}
+		if c.count == nil && !rep.OK() || c.count != nil && (c.count(rep) != 1 || len(rep.Broken) != 1) {
+			t.Errorf("%s: %q", name, rep.Broken)
+		}
+	}
+}
+
+// A rush and its returns are counted in their seconds; shown the way elsewhere is no first try.
+func TestRushAndReturns(t *testing.T) {
+	r := day()
+	for i := range 20 {
+		j := fmt.Sprint("r", i)
+		r.pass("d0", 1000+float64(i)*20, get(j, "free"), 1005+float64(i)*20, status(503))
+		if i < 6 {
+			r.pass("d0", 3000+float64(i)*20, get(j, "free"), 3005+float64(i)*20, status(503))
+		}
+	}
+	r.pass("d0", 5000, get("e", "free"), 5005, status(307))
+	rep := judged(r)
+	if rep.FirstTries != 21 || rep.FirstInTime != 1 || rep.RushPerS != 21 && rep.RushPerS != 20 || rep.ReturnsPerS != 6 {
+		t.Errorf("%+v", rep)
+	}
+}
+
 // What only looks like a broken rule is not one.
 func TestNoFalseAlarm(t *testing.T) {
 	for name, spoil := range map[string]func(r *rec){
--- a/internal/audit/read.go
+++ b/internal/audit/read.go
@@ -198,8 +198,8 @@
 
 // claims is the auditor's own reading of a token's payload.
 type claims struct {
-	JTI, Sub, Title, Class string
-	Top                    int
+	JTI, Sub, Title, Class, Brand string
+	Top                           int
 }
 
 func readToken(r *request) (c claims, ok bool) {
@@ -207,6 +207,10 @@
 	if raw == "" {
 		raw = strings.TrimPrefix(r.header.Get("Authorization"), "Bearer ")
 	}
+	return readRaw(raw)
+}
+
+func readRaw(raw string) (c claims, ok bool) {
 	parts := strings.Split(raw, ".")
 	if len(parts) != 3 {
 		return c, false
--- a/internal/standin/player/player.go
+++ b/internal/standin/player/player.go
@@ -32,6 +32,8 @@
 	// Director is the base URL of a director for a try.
 	Director func(r *rand.Rand) string
 	Double   bool // it asks twice at the same moment
+	Socket   bool // it keeps a connection to the session API
+	Hammer   bool // after a refusal it comes again every 100 ms, whatever it is told
 }
 
 // Stats counts over all viewers.
@@ -40,6 +42,9 @@
 	Segments, Stalled                                           atomic.Int64
 }
 
+// follow is the part of viewers that keep to the advice of a refusal.
+const follow = 0.85
+
 // Client is the HTTP client that viewers share: a connection each, as players have.
 func Client() *http.Client {
 	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 0, DisableKeepAlives: true,
@@ -50,6 +55,7 @@
 	status int
 	body   []byte
 	retry  time.Duration
+	home   string // the director that answers for the token, over the session API
 	err    error
 }
 
@@ -89,7 +95,18 @@
 		} else {
 			close(twin)
 		}
-		a := ask(ctx, c, url, w.GiveUp)
+		var a answer
+		over, bye := make(chan struct{}), func() {}
+		if w.Socket {
+			base, _, _ := strings.Cut(url, "/dash/")
+			a, over, bye = askSocket(ctx, c, base, tok, w.GiveUp)
+			if home := a.home; home != "" {
+				a, over, bye = askSocket(ctx, c, home, tok, w.GiveUp)
+				url = home + strings.TrimPrefix(url, base)
+			}
+		} else {
+			a = ask(ctx, c, url, w.GiveUp)
+		}
 		<-twin
 		pause := time.Duration(700+r.IntN(1800)) * time.Millisecond
 		switch {
@@ -102,15 +119,20 @@
 				st.Failed.Add(1)
 				return
 			}
-			if watch(ctx, c, url, p, end, w, st) {
+			done := watch(ctx, c, url, p, end, w, st, over)
+			bye()
+			if done {
 				return
 			}
 			st.Broken.Add(1)
 			tok = w.Token() // what broke has run: a viewer that comes again wants a new session
 		case a.status == 503:
 			st.Refused.Add(1)
-			if a.retry > 0 {
-				pause = min(pause, a.retry+time.Duration(r.IntN(500))*time.Millisecond)
+			if a.retry > 0 && r.Float64() < follow {
+				pause = a.retry + time.Duration(r.IntN(300))*time.Millisecond
+			}
+			if w.Hammer {
+				pause = 100 * time.Millisecond
 			}
 		case a.status >= 500:
 			st.Failed.Add(1)
@@ -132,7 +154,8 @@
 }
 
 // watch plays until the end; false where the session broke.
-func watch(ctx context.Context, c *http.Client, url string, p *dash.Presentation, end time.Time, w Wish, st *Stats) bool {
+func watch(ctx context.Context, c *http.Client, url string, p *dash.Presentation, end time.Time, w Wish, st *Stats,
+	over chan struct{}) bool {
 	rep := len(p.Reps) - 1
 	for i := 0; i < p.Segments(); i++ {
 		due := time.Now().Add(time.Duration(p.SegmentMs) * time.Millisecond)
@@ -163,6 +186,8 @@
 			}
 		}
 		select {
+		case <-over: // told by the director
+			return i == p.Segments()-1
 		case <-time.After(time.Until(due)):
 		case <-ctx.Done():
 		}
--- a/internal/standin/rehearse/rehearse.go
+++ b/internal/standin/rehearse/rehearse.go
@@ -5,16 +5,19 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/golang-jwt/jwt/v5"
 
 	"headmill/internal/audit"
+	"headmill/internal/config"
 	"headmill/internal/standin/box"
 	"headmill/internal/standin/player"
 	"headmill/internal/standin/stage"
@@ -30,13 +33,19 @@
 	Edit   func(*stage.Spec) // changes the fleet before it starts
 	Say    func(format string, args ...any)
 
-	st    *stage.Stage
-	mu    sync.Mutex
-	boxF  []box.Faults
-	busy  map[int]bool // boxes that a process trouble has in hand
-	rate  float64
-	Stats player.Stats
-	CPU   []float64 // ms that each director used, as far as it lived to the end
+	st     *stage.Stage
+	mu     sync.Mutex
+	boxF   []box.Faults
+	busy   map[int]bool // boxes that a process trouble has in hand
+	rate   float64
+	ctx    context.Context
+	client *http.Client
+	draws  *rand.Rand // of the day's viewers
+	flood  *rand.Rand // of a flood's
+	nth    atomic.Int64
+	living sync.WaitGroup
+	Stats  player.Stats
+	CPU    []float64 // ms that each director used, as far as it lived to the end
 }
 
 // Play runs the script to its end and returns the auditor's report.
@@ -44,6 +53,9 @@
 	s := r.Script
 	spec := stage.Small(s.Directors, s.Boxes, s.Titles, s.LifeS*1000)
 	spec.Exe, spec.Dir, spec.CutTaps = r.Exe, r.Dir, true
+	spec.Base.Attempts.MaxRetryAfterMs = s.AdviceS * 1000
+	spec.Base.Gate.PassAll = s.Gate == "off"
+	spec.Base.Brands = []config.Brand{{Name: brands[0], Share: 0.7}, {Name: brands[1], Share: 0.3}}
 	if r.Edit != nil {
 		r.Edit(&spec)
 	}
@@ -71,10 +83,12 @@
 			r.trouble(t, on)
 		}()
 	}
-	viewers := r.viewers(ctx, began, rng)
+	r.ctx, r.client = ctx, player.Client()
+	r.flood, r.draws = rand.New(rand.NewPCG(s.Seed, 17)), rand.New(rand.NewPCG(s.Seed, 13))
+	r.viewers(began)
 	wg.Wait()
 	r.say("%5.1f s  no more viewers; waiting for those who watch", time.Since(began).Seconds())
-	viewers.Wait()
+	r.living.Wait()
 	for _, m := range st.Directors {
 		if m.Proc.Alive() {
 			r.CPU = append(r.CPU, cpuMs(m.Proc.Pid()))
@@ -93,7 +107,7 @@
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func names(t Trouble, on []int) string {
-	if t.Name == "burst" {
+	if t.Name == "burst" || t.Name == "retry_flood" {
 		return "viewers"
 	}
 	kind := "b"
@@ -174,6 +188,12 @@
 		r.setRate(t.Size)
 		wait()
 		r.setRate(1)
+	case "retry_flood": // of the second brand; its viewers come again every 100 ms whatever they are told
+		end := time.Now().Add(seconds(t.LenS))
+		for at := time.Now(); at.Before(end); at = at.Add(time.Duration(float64(time.Second) / t.Size)) {
+			time.Sleep(time.Until(at))
+			r.viewer(r.flood, func(w *player.Wish) { w.Hammer = true }, 1)
+		}
 	case "drain":
 		for _, i := range on {
 			r.st.Lister.Drain(r.st.Boxes[i].Box.Public, true)
@@ -256,57 +276,64 @@
 	r.mu.Unlock()
 }
 
+var brands = [2]string{"hanbit-mobile", "dasol-talk"}
+
 // viewers draws viewers until the script's end and lets them live on.
-func (r *Run) viewers(ctx context.Context, began time.Time, seed *rand.Rand) *sync.WaitGroup {
-	s, st := r.Script, r.st
-	rng := rand.New(rand.NewPCG(s.Seed, 13))
-	wg := &sync.WaitGroup{}
-	c := player.Client()
-	titles := st.Spec.Base.Titles
-	at, n := 0.0, 0
+func (r *Run) viewers(began time.Time) {
+	at := 0.0
 	for {
 		r.mu.Lock()
-		rate := s.Rate * r.rate
+		rate := r.Script.Rate * r.rate
 		r.mu.Unlock()
-		at += rng.ExpFloat64() / rate
-		if at >= s.Seconds {
-			return wg
+		at += r.draws.ExpFloat64() / rate
+		if at >= r.Script.Seconds {
+			return
 		}
 		time.Sleep(time.Until(began.Add(seconds(at))))
-		t := &titles[int(float64(len(titles))*math.Pow(rng.Float64(), 1.5))] // some are wanted far more than others
-		k := &st.Spec.Base.Classes[st.Spec.Base.ClassNumber(t.Class)]
-		n++
-		viewer, top := fmt.Sprintf("v%d", n), len(st.Spec.Base.Ladder.RateKB)-1
-		if rng.Float64() < 0.2 {
-			top--
-		}
-		brand := "hanbit-mobile"
-		if rng.Float64() < 0.3 {
-			brand = "dasol-talk"
+		brand := 0
+		if r.draws.Float64() < 0.3 {
+			brand = 1
 		}
-		tries := 0
-		w := player.Wish{Title: t.Name, Class: t.Class, Paid: k.Repeat == "once", GiveUp: time.Duration(k.GiveUpMs) * time.Millisecond,
-			Length: time.Duration(t.DurationMs) * time.Millisecond, Seed: rng.Uint64(), Double: rng.Float64() < s.Double,
-			Token: func() string {
-				tries++
-				now := time.Now()
-				raw, err := st.Key.Mint(token.Claims{Title: t.Name, Class: t.Class, Brand: brand, Top: top,
-					RegisteredClaims: jwt.RegisteredClaims{Subject: viewer, ID: fmt.Sprintf("%s-%d", viewer, tries),
-						IssuedAt: jwt.NewNumericDate(now), ExpiresAt: jwt.NewNumericDate(now.Add(10 * time.Minute))}})
-				if err != nil {
-					panic(err)
-				}
-				return raw
-			},
-			Director: func(g *rand.Rand) string { return st.Directors[g.IntN(len(st.Directors))].URL }}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			player.Watch(ctx, c, w, &r.Stats)
-		}()
+		r.viewer(r.draws, nil, brand)
 	}
 }
 
+// viewer draws one viewer of a brand and lets it live.
+func (r *Run) viewer(rng *rand.Rand, edit func(*player.Wish), brand int) {
+	s, st := r.Script, r.st
+	titles := st.Spec.Base.Titles
+	t := &titles[int(float64(len(titles))*math.Pow(rng.Float64(), 1.5))] // some are wanted far more than others
+	k := &st.Spec.Base.Classes[st.Spec.Base.ClassNumber(t.Class)]
+	viewer, top := fmt.Sprintf("v%d", r.nth.Add(1)), len(st.Spec.Base.Ladder.RateKB)-1
+	if rng.Float64() < 0.2 {
+		top--
+	}
+	tries := 0
+	w := player.Wish{Title: t.Name, Class: t.Class, Paid: k.Repeat == "once", GiveUp: time.Duration(k.GiveUpMs) * time.Millisecond,
+		Length: time.Duration(t.DurationMs) * time.Millisecond, Seed: rng.Uint64(), Double: rng.Float64() < s.Double,
+		Socket: rng.Float64() < s.Socket,
+		Token: func() string {
+			tries++
+			now := time.Now()
+			raw, err := st.Key.Mint(token.Claims{Title: t.Name, Class: t.Class, Brand: brands[brand], Top: top,
+				RegisteredClaims: jwt.RegisteredClaims{Subject: viewer, ID: fmt.Sprintf("%s-%d", viewer, tries),
+					IssuedAt: jwt.NewNumericDate(now), ExpiresAt: jwt.NewNumericDate(now.Add(10 * time.Minute))}})
+			if err != nil {
+				panic(err)
+			}
+			return raw
+		},
+		Director: func(g *rand.Rand) string { return st.Directors[g.IntN(len(st.Directors))].URL }}
+	if edit != nil {
+		edit(&w)
+	}
+	r.living.Add(1)
+	go func() {
+		defer r.living.Done()
+		player.Watch(r.ctx, r.client, w, &r.Stats)
+	}()
+}
+
 // Terms is what the auditor is told of the fleet: the terms of service, not what any director thinks.
 func Terms(st *stage.Stage) audit.Terms {
 	b, x := &st.Spec.Base, &st.Spec.Box
--- a/internal/standin/rehearse/script.go
+++ b/internal/standin/rehearse/script.go
@@ -22,7 +22,10 @@
 	Titles    int       `toml:"titles"`
 	LifeS     float64   `toml:"life_s"`
 	Seed      uint64    `toml:"seed"`
-	Double    float64   `toml:"double"` // share of viewers that ask twice at the same moment
+	Double    float64   `toml:"double"`   // share of viewers that ask twice at the same moment
+	Socket    float64   `toml:"socket"`   // share of viewers that come over the session API
+	AdviceS   float64   `toml:"advice_s"` // the longest advice that a refusal may give
+	Gate      string    `toml:"gate"`     // "off": the limits pass all, for comparison
 	Troubles  []Trouble `toml:"trouble"`
 }
 
@@ -40,7 +43,7 @@
 // played are the troubles that this version can play, and whether they fall on directors.
 var played = map[string]bool{"crash": false, "vanish": false, "hang": false, "fast_errors": false, "slow": false,
 	"answer_lost": false, "report_late": false, "burst": false, "balancer_crash": true, "drain": false,
-	"cold_start": false}
+	"cold_start": false, "retry_flood": false}
 
 // later are recorded troubles that the form holds and this version does not play yet.
 var later = []string{"neighbour", "hot_key", "zone_cut", "balancer_roll", "origin_slow", "report_gap", "shared_slow"}
@@ -55,6 +58,7 @@
 life_s = 9
 seed = 1
 double = 0.03
+socket = 0.3
 
 [[trouble]]
 name = "slow"
@@ -128,7 +132,7 @@
 
 // Parse reads a script; what it leaves out is as in the built-in day, but for the troubles.
 func Parse(text string) (*Script, error) {
-	s := Script{Seconds: 30, Rate: 30, Directors: 2, Boxes: 8, Titles: 9, LifeS: 9, Seed: 1}
+	s := Script{Seconds: 30, Rate: 30, Directors: 2, Boxes: 8, Titles: 9, LifeS: 9, Seed: 1, AdviceS: 1}
 	dec := toml.NewDecoder(bytes.NewReader([]byte(text))).DisallowUnknownFields()
 	if err := dec.Decode(&s); err != nil {
 		var strict *toml.StrictMissingError
@@ -155,7 +159,7 @@
 		if t.AtS < 0 || t.LenS <= 0 || t.Part < 0 || t.Part > 1 {
 			return nil, fmt.Errorf("script: trouble %d (%s): at_s 0 or more, len_s over 0, part 0 to 1", i+1, t.Name)
 		}
-		if slices.Contains([]string{"slow", "fast_errors", "report_late", "burst"}, t.Name) && t.Size <= 0 {
+		if slices.Contains([]string{"slow", "fast_errors", "report_late", "burst", "retry_flood"}, t.Name) && t.Size <= 0 {
 			return nil, fmt.Errorf("script: trouble %d (%s) needs a size", i+1, t.Name)
 		}
 		most := s.Boxes
