Only a request that would begin a set-up passes the gate

Cause: the gate was asked before the ledger, so a paid token that arrived at the director that is not its home, or one issued before a restart, could be refused for want of room though its set-up ran elsewhere or earlier.

once.Ledger.Begins says whether a request would begin a set-up; only then the gate is asked. The property test holds it against what Step does.

--- a/decide/once/once.go
+++ b/decide/once/once.go
@@ -276,16 +276,36 @@
 	}
 }
 
+// Begins tells whether an Ask at now would begin a set-up. Only such a request may be refused for want of room
+// before the ledger hears of it: refusing any other would promise that nothing ran.
+func (l *Ledger) Begins(now float64, ev *Event) bool {
+	if e := l.byKey[ev.Key]; e != nil {
+		return e.print == ev.Print && (e.state == StateVoid || !e.paid && (e.state == StateLost || e.state == StateOver))
+	}
+	return !l.stopping && l.home(ev) == l.cfg.Me && !l.earlier(now, ev)
+}
+
+// home is the director that answers for a token.
+func (l *Ledger) home(ev *Event) int {
+	if !ev.Paid || !l.cfg.SharedPaid {
+		return l.cfg.Me
+	}
+	return Home(ev.Key, l.cfg.Directors)
+}
+
+// earlier tells whether a paid token was issued before this director started: its predecessor may have set it
+// up, and its ledger is gone.
+func (l *Ledger) earlier(now float64, ev *Event) bool {
+	return ev.Paid && !l.cfg.FirstStart && ev.AgeMs+l.cfg.SkewMs >= now-l.cfg.StartedMs
+}
+
 // first handles a token that the ledger does not know.
 func (l *Ledger) first(ev *Event) {
-	if ev.Paid && l.cfg.SharedPaid {
-		if home := Home(ev.Key, l.cfg.Directors); home != l.cfg.Me {
-			l.out = append(l.out, Action{Kind: Elsewhere, Waiter: ev.Waiter, Home: home, Reason: ReasonOther})
-			return
-		}
+	if home := l.home(ev); home != l.cfg.Me {
+		l.out = append(l.out, Action{Kind: Elsewhere, Waiter: ev.Waiter, Home: home, Reason: ReasonOther})
+		return
 	}
-	if ev.Paid && !l.cfg.FirstStart && ev.AgeMs+l.cfg.SkewMs >= l.now-l.cfg.StartedMs {
-		// Issued before this director started: its predecessor may have set it up, and its ledger is gone.
+	if l.earlier(l.now, ev) {
 		l.fail(ev.Waiter, 0, ReasonEarlier)
 		return
 	}
--- a/decide/once/once_test.go
+++ b/decide/once/once_test.go
@@ -166,6 +166,9 @@
 		ev.Key = fmt.Sprint("k", i)
 		home := Home(ev.Key, names)
 		seen[home]++
+		if l.Begins(0, &ev) != (home == 1) {
+			t.Fatalf("token %d of director %d: begins here is %v", i, home, home != 1)
+		}
 		if home != 1 {
 			run(t, "elsewhere", l, []step{{0, ev, fmt.Sprintf("elsewhere w%d d%d; ", i+1, home)}})
 		}
@@ -192,6 +195,9 @@
 	free.Key, free.AgeMs = "free", 5000
 	young := ask(4, 4, true)
 	young.Key, young.AgeMs = "young", 900
+	if l.Begins(2000, &old) || !l.Begins(2000, &free) || !l.Begins(2000, &young) {
+		t.Error("a token of an earlier run would begin, or a young one not")
+	}
 	run(t, "earlier run", l, []step{{2000, old, "fail w1 earlier; "}, {2000, free, "begin s3; "}, {2000, young, "begin s4; "}})
 }
 
@@ -227,7 +233,18 @@
 		under := map[string]int{}       // sessions under way by key
 		paid := func(k string) bool { return k[0] == 'p' }
 		do := func(ev Event) {
+			begins := ev.Kind == Ask && l.Begins(now, &ev)
+			began := false
+			defer func() {
+				if ev.Kind == Ask && began && !begins {
+					t.Fatalf("%s begins, though it was said that it would not", ev.Key)
+				}
+				if begins && paid(ev.Key) && ran[ev.Key] && !began {
+					t.Fatalf("%s was said to begin though it may have run", ev.Key)
+				}
+			}()
 			for _, a := range l.Step(now, []Event{ev}, nil) {
+				began = began || a.Kind == Begin
 				switch a.Kind {
 				case Begin:
 					k := open[a.Waiter]
--- a/internal/director/core.go
+++ b/internal/director/core.go
@@ -7,7 +7,6 @@
 
 	"headmill/decide/limits"
 	"headmill/decide/once"
-	"headmill/decide/retire"
 	"headmill/internal/token"
 )
 
@@ -83,7 +82,7 @@
 	return xxhash.Sum64String(c.Title + "\x00" + c.Class + "\x00" + c.Subject)
 }
 
-// place takes an order: a known token goes to the ledger, a new one past the gate first. The result may come
+// place takes an order to the ledger; one that would begin a set-up passes the gate first. The result may come
 // within this call.
 func (d *Director) place(o *order, t *title, raw string, c *token.Claims) {
 	now := d.wall()
@@ -93,20 +92,18 @@
 		wish: print(c), brandNo: d.gate.BrandNumber(c.Brand)}
 	d.waiters[o.waiter] = o
 	d.stats.Asked++
-	if _, _, known := d.ledger.Lookup(c.ID); !known && !d.admits(o) {
+	ev := once.Event{Kind: once.Ask, Waiter: o.waiter, Key: c.ID, Print: o.claims.wish,
+		Paid: d.cfg.Classes[t.class].Repeat == "once", Tied: o.tied, AgeMs: c.AgeMs(now), LeftMs: c.LeftMs(now)}
+	if d.ledger.Begins(d.l.Now(), &ev) && !d.admits(o) {
 		return
 	}
 	d.lastSession++
-	d.ledgerIn = append(d.ledgerIn, once.Event{Kind: once.Ask, Waiter: o.waiter, Key: c.ID, Print: o.claims.wish,
-		Paid: d.cfg.Classes[t.class].Repeat == "once", Tied: o.tied, AgeMs: c.AgeMs(now), LeftMs: c.LeftMs(now),
-		Session: d.lastSession})
+	ev.Session = d.lastSession
+	d.ledgerIn = append(d.ledgerIn, ev)
 }
 
 // admits asks decide/limits and the accounts; what is not let in is refused at once.
 func (d *Director) admits(o *order) bool {
-	if d.stop.Phase() != retire.Serving { // the ledger refuses it; the gate must not count it
-		return true
-	}
 	if !d.accounts.Room(limits.Sessions, 1) || !d.accounts.Room(limits.Ledger, 1) {
 		d.settle(o, result{verdict: isRefused, reason: "full", status: 503, retryMs: d.cfg.Attempts.MaxRetryAfterMs,
 			detail: "this director is at a limit of its settings; nothing was set up"})
