--- a/cmd/headmill/bench.go
+++ b/cmd/headmill/bench.go
@@ -30,6 +30,7 @@
 	Idle    int     `default:"10000" help:"Idle connections."`
 	Boxes   int     `default:"4" help:"Boxes that answer at once."`
 	Most    int     `default:"200000" help:"Tokens to mint for each measurement."`
+	Sockets int     `help:"Measure so many players on the session API instead, one session each."`
 	JSON    bool    `help:"End with one line of JSON for each server."`
 }
 
@@ -49,13 +50,17 @@
 		return err
 	}
 	defer list.Close()
+	if c.Sockets > 0 {
+		c.Boxes = max(c.Boxes, 64)
+	}
 	var boxes []string
+	var peers []*bench.Box
 	for i := range c.Boxes {
 		b, err := bench.StartBox()
 		if err != nil {
 			return err
 		}
-		boxes = append(boxes, b.Addr())
+		boxes, peers = append(boxes, b.Addr()), append(peers, b)
 		resp, err := http.Post("http://"+list.Addr()+"/beat", "application/json",
 			strings.NewReader(fmt.Sprintf(`{"addr":%q,"boot":"x","cell":%d}`, b.Addr(), i)))
 		if err != nil {
@@ -83,6 +88,9 @@
 	if err := os.WriteFile(conf, text, 0o644); err != nil {
 		return err
 	}
+	if c.Sockets > 0 {
+		return c.sockets(exe, conf, key, &s, peers)
+	}
 	var results []bench.Result
 	for _, m := range []struct {
 		name string
@@ -183,6 +191,42 @@
 	return bench.Idle(addr, cmd.Process.Pid, c.Idle)
 }
 
+// sockets measures players on the session API.
+func (c *benchCmd) sockets(exe, conf string, key token.Key, s *config.Settings, boxes []*bench.Box) error {
+	cmd, addr, end, err := c.server(exe, "", []string{"serve", conf, "--follow-stdin"})
+	if err != nil {
+		return err
+	}
+	defer end()
+	var tokens []string
+	for i := range c.Sockets {
+		t := &s.Titles[i%len(s.Titles)]
+		raw, err := key.Mint(claimsFor(t.Name, t.Class, "v", "b", strconv.FormatInt(time.Now().UnixNano(), 36)+strconv.Itoa(i), 3, time.Hour))
+		if err != nil {
+			return err
+		}
+		tokens = append(tokens, raw)
+	}
+	for _, b := range boxes {
+		b.Hold()
+	}
+	r, err := bench.Sockets(addr, cmd.Process.Pid, tokens, func() {
+		for _, b := range boxes {
+			b.Overload(3)
+		}
+	}, 30*time.Second)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%d connections with a session each: %.0f bytes each, opened at %.0f/s; %d rungs pushed, p50 %.1f ms, p99 %.1f ms, last %.1f ms\n",
+		r.Connections, r.BytesEach, r.OpenedPerS, r.Pushed, r.P50Ms, r.P99Ms, r.MaxMs)
+	if c.JSON {
+		line, _ := json.Marshal(r)
+		fmt.Println(string(line))
+	}
+	return nil
+}
+
 func mintAll(key token.Key, s *config.Settings, addr string, n int) [][]byte {
 	out := make([][]byte, n)
 	var wg sync.WaitGroup
--- a/cmd/headmill/main_test.go
+++ b/cmd/headmill/main_test.go
@@ -105,12 +105,40 @@
 	if !rep.OK() {
 		t.Errorf("rules broke: %s", strings.Join(rep.Broken, "\n"))
 	}
+	if rep.Sockets == 0 {
+		t.Error("nobody came over the session API")
+	}
 	if rep.Asked < 100 || rep.Plays < 50 || rep.AnsweredOnce+rep.Left+rep.LostWith != rep.Asked || rep.Setups < rep.Plays/2 ||
 		rep.WorthInTime <= 0.1 || rep.WorthInTime > 1 {
 		t.Errorf("not a day: %+v", rep)
 	}
 }
 
+// A short rush over both fronts: the rules hold, and the wave of returns stays under the rush.
+func TestRush(t *testing.T) {
+	exe, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := rehearse.Parse("seconds = 8\nrate = 20\nboxes = 4\nlife_s = 4\nseed = 3\nsocket = 0.4\nadvice_s = 6\n" +
+		"[[trouble]]\nname = \"burst\"\nat_s = 1\nlen_s = 3\nsize = 9\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rehearse.Run{Script: s, Exe: exe, Dir: t.TempDir(), Say: t.Logf}
+	rep, err := r.Play()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%+v", *rep)
+	if !rep.OK() {
+		t.Errorf("rules broke: %s", strings.Join(rep.Broken, "\n"))
+	}
+	if rep.Refused < 50 || rep.RushPerS < 100 || rep.ReturnsPerS >= rep.RushPerS {
+		t.Errorf("not a rush with a lower wave of returns: %+v", rep)
+	}
+}
+
 // A box starts cold while three directors have work for it only. They hold back together without a word; with
 // their guard off, the stand-in really falls over.
 func TestColdBox(t *testing.T) {
--- a/decide/limits/limits.go
+++ b/decide/limits/limits.go
@@ -10,7 +10,8 @@
 // Step that brings it.
 //
 // While the boxes have room for all, everything passes. Shares, titles and
-// repeated tries only count while the module refuses for want of room.
+// repeated tries only count for titles that the module refuses for want of room:
+// a title lies on some boxes only, and others may have plenty.
 package limits
 
 import (
@@ -28,7 +29,7 @@
 	leastRate   = 0.001  // placements a ms that may be tried at least, or nothing would ever be learned,
 	leastPart   = 0.05   // and at least this part of the measured rate
 	ownOver     = 1.1    // of the measured rate that the brands' own parts add up to: it may be about to rise
-	loanUp      = 1.1    // growth of loans a slot while every request within a share finds room: 46% a second
+	loanUp      = 1.06   // growth of loans a slot while every request within a share finds room: 26% a second
 	loanDown    = 0.5    // what is left of them after a slot in which one did not
 	usedPart    = 0.7    // of the loans; they grow only where so much of them is used
 	depthMs     = 1000.0 // ms of its rate that a brand's bucket holds: what it may come back with at once
@@ -116,18 +117,42 @@
 func (r *rate) add(n float64)   { r.perMs += n / rateTauMs }
 func (r *rate) fade(ms float64) { r.perMs *= math.Exp(-ms / rateTauMs) }
 
+// room is what is known of one title's room: it is short while the module refuses it.
+type room struct {
+	placed, firsts rate
+	tried, noRoom  float64 // placements tried and refused in the last half second or so
+	at             float64 // when the figures were last faded
+	until          float64 // it is short until then
+}
+
+// pass lets the time up to now go by.
+func (r *room) pass(now float64) {
+	ms := now - r.at
+	if ms <= 0 {
+		return
+	}
+	r.at = now
+	r.placed.fade(ms)
+	r.firsts.fade(ms)
+	fade := math.Exp(-ms / (2 * slotMs))
+	r.tried *= fade
+	r.noRoom *= fade
+}
+
 // Gate is the state.
 type Gate struct {
 	cfg      Config
 	rng      *rand.Rand
 	now      float64
 	started  bool
+	swept    float64
 	began    float64
-	placed   rate // placements
-	firsts   rate // first tries
+	rooms    map[uint64]*room // by title
+	hot      []*room          // those that are short of room
+	placed   float64          // placements a ms of these, and first tries
+	firsts   float64
 	tried    float64
 	noRoom   float64 // both of the last second or so: placements tried and refused
-	scarce   float64 // until then shares count
 	loan     float64 // placements a ms that are let through beyond the brands' own parts
 	aimed    float64 // when loans were last moved
 	hurt     bool    // a request within its share found no room in this slot
@@ -149,7 +174,7 @@
 	if len(cfg.Values) == 0 {
 		cfg.Values = []float64{1}
 	}
-	g := &Gate{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x6c696d69))}
+	g := &Gate{cfg: cfg, rooms: map[uint64]*room{}, rng: rand.New(rand.NewPCG(seed, 0x6c696d69))}
 	g.SetBrands(cfg.Brands)
 	g.wishes.most = max(cfg.MaxWishes, 1)
 	g.ranks, g.steps = ranks(cfg.Values)
@@ -194,7 +219,18 @@
 }
 
 // Scarce tells whether shares count at present.
-func (g *Gate) Scarce() bool { return g.started && g.now < g.scarce }
+func (g *Gate) Scarce() bool { return len(g.hot) > 0 }
+
+// room finds a title's figures, faded up to now.
+func (g *Gate) room(title uint64) *room {
+	r := g.rooms[title]
+	if r == nil {
+		r = &room{at: g.now}
+		g.rooms[title] = r
+	}
+	r.pass(g.now)
+	return r
+}
 
 // Severity is the director's own load over its limits: 1 is full.
 func (g *Gate) Severity() float64 { return g.severity }
@@ -211,10 +247,13 @@
 		case Ask:
 			out = append(out, g.ask(ev))
 		case NoRoom:
+			r := g.room(ev.Title)
 			g.tried++
 			g.noRoom++
+			r.tried++
+			r.noRoom++
 			g.hurt = g.hurt || !ev.Loan
-			g.look()
+			g.look(r)
 			repeated := g.wishes.known(ev.Wish, g.now, g.cfg.RememberMs)
 			if !repeated {
 				g.brand(ev.Brand).unmet(ev.Title, g.now)
@@ -222,7 +261,9 @@
 			out = append(out, g.refuse(ev, Room, repeated))
 		case Placed:
 			g.tried++
-			g.placed.add(1)
+			r := g.room(ev.Title)
+			r.tried++
+			r.placed.add(1)
 			g.wishes.forget(ev.Wish)
 		case Load:
 			g.load(ev)
@@ -243,8 +284,7 @@
 		return
 	}
 	g.now = now
-	g.placed.fade(ms)
-	g.firsts.fade(ms)
+	g.rest()
 	fade := math.Exp(-ms / (2 * slotMs))
 	g.tried *= fade
 	g.noRoom *= fade
@@ -265,7 +305,7 @@
 
 // placing is the measured rate of placements a ms. A young measurement is scaled up by the time that it lacks.
 func (g *Gate) placing() float64 {
-	return g.placed.perMs / math.Max(1-math.Exp(-(g.now-g.began)/rateTauMs), 0.05)
+	return g.placed / math.Max(1-math.Exp(-(g.now-g.began)/rateTauMs), 0.05)
 }
 
 // aim moves the loans: up while every request within a share finds room, down by half where one did not. So a
@@ -284,18 +324,49 @@
 	g.aimed, g.hurt, g.borrowed = g.now, false, 0
 }
 
-// look turns the shares on while placements are refused for want of room.
-func (g *Gate) look() {
-	if g.tried >= leastTried && g.noRoom/g.tried >= scarceFrom {
-		if !g.Scarce() { // from here on the buckets count: begin with what their owners have not used
-			whole := g.whole()
-			for _, b := range g.brands {
-				b.start(whole)
-			}
-			g.loan = math.Max(g.placing()/2, g.least())
-			g.lent, g.aimed, g.hurt, g.borrowed = 1, g.now, false, 0
+// look finds a title short of room. With the first one the shares begin to count.
+func (g *Gate) look(r *room) {
+	if r.tried < leastTried || r.noRoom/r.tried < scarceFrom {
+		return
+	}
+	first := len(g.hot) == 0
+	if g.now >= r.until {
+		g.hot = append(g.hot, r)
+		g.placed += r.placed.perMs
+		g.firsts += r.firsts.perMs
+	}
+	r.until = g.now + scarceHold
+	if first { // the buckets begin with what their owners have not used
+		whole := g.whole()
+		for _, b := range g.brands {
+			b.start(whole)
+		}
+		g.loan = math.Max(g.placing()/2, g.least())
+		g.lent, g.aimed, g.hurt, g.borrowed = 1, g.now, false, 0
+	}
+}
+
+// rest lets go of titles that have room again, and forgets those that nobody asks for.
+func (g *Gate) rest() {
+	g.placed, g.firsts = 0, 0
+	kept := g.hot[:0]
+	for _, r := range g.hot {
+		if g.now < r.until {
+			r.pass(g.now)
+			g.placed += r.placed.perMs
+			g.firsts += r.firsts.perMs
+			kept = append(kept, r)
+		}
+	}
+	g.hot = kept
+	if g.now-g.swept < 4*depthMs {
+		return
+	}
+	g.swept = g.now
+	for id, r := range g.rooms {
+		if g.now-r.at > 10*rateTauMs && g.now >= r.until {
+			delete(g.rooms, id)
 		}
-		g.scarce = g.now + scarceHold
 	}
 }
 
@@ -309,8 +380,9 @@
 func (g *Gate) ask(ev *Event) Action {
 	b := g.brand(ev.Brand)
 	repeated := g.wishes.known(ev.Wish, g.now, g.cfg.RememberMs)
+	r := g.room(ev.Title)
 	if !repeated {
-		g.firsts.add(1)
+		r.firsts.add(1)
 	}
 	if g.cfg.PassAll {
 		return Action{ID: ev.ID, Repeated: repeated}
@@ -318,12 +390,13 @@
 	if g.sheds(ev.Class, repeated) {
 		return g.refuse(ev, Overload, repeated)
 	}
-	if !g.Scarce() {
+	t := b.title(ev.Title, g.now)
+	if g.now >= r.until {
+		t.used++
 		return Action{ID: ev.ID, Repeated: repeated}
 	}
-	t := b.title(ev.Title, g.now)
 	if b.starves(t, g.now) {
-		g.scarce = g.now + scarceHold
+		r.until = g.now + scarceHold
 		return g.refuse(ev, Title, repeated)
 	}
 	loan := false
@@ -341,7 +414,7 @@
 		loan = true
 	}
 	if !loan {
-		g.scarce = g.now + scarceHold
+		r.until = g.now + scarceHold
 		why := Repeat
 		if !repeated {
 			why = Share
@@ -365,7 +438,7 @@
 		a.RetryMs = g.cfg.MaxRetryMs
 		return a
 	}
-	spare := math.Max(g.placing()-g.firsts.perMs, g.placing()*0.1) * slotMs
+	spare := math.Max(g.placing()-g.firsts, g.placing()*0.1) * slotMs
 	a.RetryMs = g.returns.book(g.now, g.cfg.MinRetryMs, g.cfg.MaxRetryMs, spare, g.rng)
 	return a
 }
--- /dev/null
+++ b/decide/quality/finding.go
@@ -0,0 +1,154 @@
+package quality
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+)
+
+// Finding says that a group's sessions fall together, and on what evidence.
+type Finding struct {
+	Key
+	Since, At       float64
+	Over            bool // it has ended
+	Sessions, Short int  // of the group
+	Rest, RestShort int  // of the others
+	Load            float64
+	Score           float64 // gain of log-likelihood over "all are alike"
+}
+
+// String is the evidence in words.
+func (f Finding) String() string {
+	if f.Over {
+		return fmt.Sprintf("%s %d is over after %.1f s", f.Dim, f.ID, (f.At-f.Since)/1000)
+	}
+	return fmt.Sprintf("%s %d: %d of %d sessions short, elsewhere %d of %d; asked for about %.2f of what it gives", f.Dim, f.ID,
+		f.Short, f.Sessions, f.RestShort, f.Rest, f.Load)
+}
+
+type tally struct {
+	n, short int
+	share    float64 // sum over the short ones
+}
+
+// look compares groups by what their sessions last saw. The group that explains most of what is short is taken
+// first; its sessions are set aside, and the rest is looked at again. So a rack that is squeezed is not also a
+// dozen bad titles, and a bad box is not a bad rack: the wider group would have to be short as a whole.
+func (q *Quality) look() []Finding {
+	type one struct {
+		keys  [dims]Key
+		short bool
+		share float64
+	}
+	var all []one
+	ids := make([]uint64, 0, len(q.sessions))
+	for id := range q.sessions {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		s := q.sessions[id]
+		if s.at == 0 || s.ended > 0 || q.now-s.at > 2*q.cfg.WindowMs {
+			continue
+		}
+		p := s.spanAt(s.at)
+		if last := &s.spans[len(s.spans)-1]; p == nil || last.Box != p.Box {
+			continue // it has moved since: what it saw is of another place
+		}
+		all = append(all, one{s.keys(p.Place), s.short < q.cfg.ShortUnder, s.short})
+	}
+	hold := map[Key]Finding{}
+	for range 4 { // more causes at a time than this are one cause that has no group
+		groups, whole := map[Key]tally{}, tally{}
+		for _, o := range all {
+			whole.n++
+			if o.short {
+				whole.short++
+			}
+			for _, k := range o.keys {
+				t := groups[k]
+				t.n++
+				if o.short {
+					t.short++
+					t.share += math.Max(o.share, 0.05)
+				}
+				groups[k] = t
+			}
+		}
+		best, ok := q.best(groups, whole)
+		if !ok {
+			break
+		}
+		hold[best.Key] = best
+		all = slices.DeleteFunc(all, func(o one) bool { return o.keys[best.Dim] == best.Key })
+	}
+	return q.changes(hold)
+}
+
+// best is the group with the largest gain that passes the bounds: most of it is short, most of the rest is not.
+func (q *Quality) best(groups map[Key]tally, whole tally) (Finding, bool) {
+	var best Finding
+	found := false
+	for k, t := range groups {
+		rest := tally{n: whole.n - t.n, short: whole.short - t.short}
+		if t.n < q.cfg.MinSessions || rest.n < q.cfg.MinSessions || 2*t.short < t.n || 4*rest.short > rest.n {
+			continue
+		}
+		f := Finding{Key: k, At: q.now, Sessions: t.n, Short: t.short, Rest: rest.n, RestShort: rest.short,
+			Score: gain(t, rest, whole), Load: float64(t.short) / t.share}
+		better := f.Score > best.Score+1e-9
+		if math.Abs(f.Score-best.Score) <= 1e-9 { // the same sessions by two names: the nearest cause, always the same one
+			better = f.Dim < best.Dim || f.Dim == best.Dim && f.ID < best.ID
+		}
+		if f.Score >= q.cfg.MinScore && (!found || better) {
+			best, found = f, true
+		}
+	}
+	return best, found
+}
+
+// gain is the log-likelihood ratio (G-test) of two rates of shortness against one.
+func gain(a, b, both tally) float64 { return fit(a) + fit(b) - fit(both) }
+
+func fit(t tally) float64 {
+	if t.n == 0 || t.short == 0 || t.short == t.n {
+		return 0
+	}
+	p := float64(t.short) / float64(t.n)
+	return float64(t.short)*math.Log(p) + float64(t.n-t.short)*math.Log(1-p)
+}
+
+// changes tells findings that began, and those that have been gone for two windows.
+func (q *Quality) changes(hold map[Key]Finding) (out []Finding) {
+	for k, f := range hold {
+		if old := q.found[k]; old != nil {
+			f.Since = old.Since
+			*old = f
+			continue
+		}
+		f.Since = q.now
+		q.found[k] = &f
+		out = append(out, f)
+	}
+	for k, f := range q.found {
+		if _, ok := hold[k]; !ok && q.now-f.At > 2*q.cfg.WindowMs {
+			f.Over = true
+			f.At = q.now
+			out = append(out, *f)
+			delete(q.found, k)
+		}
+	}
+	slices.SortFunc(out, func(a, b Finding) int { return cmp.Or(cmp.Compare(a.Dim, b.Dim), cmp.Compare(a.ID, b.ID)) })
+	return out
+}
+
+// Findings are those in force, in order.
+func (q *Quality) Findings() []Finding {
+	var out []Finding
+	for _, f := range q.found {
+		out = append(out, *f)
+	}
+	slices.SortFunc(out, func(a, b Finding) int { return cmp.Or(cmp.Compare(a.Dim, b.Dim), cmp.Compare(a.ID, b.ID)) })
+	return out
+}
--- /dev/null
+++ b/decide/quality/quality.go
@@ -0,0 +1,398 @@
+// Package quality works out the quality that viewers see from what their
+// players report, places each report with the rack, box, title, class and brand
+// where the session was at the report's time, and decides when a group of
+// sessions that fall together points to one cause: a squeezed rack, a bad box, a
+// bad title, a bad family of players.
+//
+// It is pure: facts with their times go in by Step, findings come out. Times are
+// ms on the director's clock; a player's clock is never trusted as it is.
+package quality
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Dim is a way to group sessions.
+type Dim uint8
+
+// The dimensions.
+const (
+	Rack Dim = iota
+	Box
+	Title
+	Class
+	Brand
+	Family // of players
+	dims
+)
+
+var dimNames = [...]string{"rack", "box", "title", "class", "brand", "family"}
+
+func (d Dim) String() string { return dimNames[d] }
+
+// Config has the times and bounds.
+type Config struct {
+	WindowMs  float64   // length of a window of event time
+	LateMs    float64   // a window stays open for reports so late
+	SkewMs    float64   // the most that a player's clock is taken to be wrong by
+	KeepMs    float64   // how long an ended session's timeline is kept
+	MaxSpans  int       // of a session's timeline; older ones are merged
+	MaxSeen   int       // report numbers remembered for a session
+	MaxGroups int       // groups in a window; reports of further ones count in the whole only
+	RungWorth []float64 // quality of each rung
+	// Weights of the linear model (Yin, Jindal, Sekar, Sinopoli, SIGCOMM 2015, eq. 5), in quality units.
+	SwitchCost, StallCost, StartCost float64 // for a unit of change, a second of stall, a second of start-up
+	ShortUnder                       float64 // a session whose rate got is under this part of the granted is short
+	LookMs                           float64 // groups are compared so often
+	MinSessions                      int     // of a group, for a finding
+	MinScore                         float64 // log-likelihood gain of a finding
+}
+
+// Key names a group.
+type Key struct {
+	Dim Dim
+	ID  uint64
+}
+
+// EventKind tells which fields of an Event are set.
+type EventKind uint8
+
+// The events.
+const (
+	Begun  EventKind = iota // Session, At, Place, Title, Class, Brand, Family, StartMs
+	Moved                   // Session, At, Place: it plays elsewhere from then on
+	Rung                    // Session, At, Place.Rung, Place.KB
+	Ended                   // Session, At
+	Report                  // Session, Seen
+	Adopt                   // as Begun, for a session whose director died: its timeline before At is not known
+)
+
+// Place is where a session plays.
+type Place struct {
+	Rack, Box uint64
+	Rung      int
+	KB        float64 // kB/s granted
+}
+
+// Seen is one report of a player.
+type Seen struct {
+	At      float64 // on the player's clock; NaN: it told none
+	Arrived float64 // on the director's clock
+	Number  int64   // of the player's own count; -1: none
+	GotKB   float64 // kB/s that arrived; NaN: not told
+	StallMs float64 // ms of stall since its last report
+	Starved bool    // it ran empty, for how long is not told
+	Rung    int     // that it played; -1: not told
+	Box     uint64  // the box that handed the report on: it was seen there; 0: it came straight
+}
+
+// Event is one fact.
+type Event struct {
+	Kind                        EventKind
+	Session                     uint64
+	At                          float64
+	Place                       Place
+	Title, Class, Brand, Family uint64
+	StartMs                     float64 // from the wish to play, where it is known
+	Seen                        Seen
+}
+
+// Verdict tells what became of a report.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Counted Verdict = iota
+	Doubled         // it was counted before
+	Unknown         // of a session never seen, or ended too long ago
+	Before          // of a time before the session's known timeline
+	TooLate         // after the watermark
+	Broken          // of a time that no clock error explains
+	verdicts
+)
+
+var verdictNames = [...]string{"counted", "doubled", "unknown", "before", "too_late", "broken"}
+
+func (v Verdict) String() string { return verdictNames[v] }
+
+// span is a part of a session's timeline with one place and rung.
+type span struct {
+	from float64
+	Place
+}
+
+type session struct {
+	spans                       []span
+	title, class, brand, family uint64
+	ended                       float64 // 0: it plays
+	partly                      bool    // its timeline before the first span is not known
+	skew                        float64 // added to the player's clock
+	clocked                     bool
+	seen                        []uint64 // marks of reports counted, a ring
+	next                        int
+	last                        float64 // event time of the last report
+	rung                        int     // played at the last report
+	short                       float64 // part of the granted rate that it got, at short's time
+	at                          float64
+}
+
+// Quality is the state.
+type Quality struct {
+	cfg      Config
+	now      float64
+	sessions map[uint64]*session
+	open     []*Window // by start, rising
+	closed   []*Window // not yet taken
+	counts   [verdicts]uint64
+	late     float64 // the most that a report came too late by
+	swept    float64
+	looked   float64
+	found    map[Key]*Finding
+}
+
+// New makes an empty state.
+func New(cfg Config) *Quality {
+	return &Quality{cfg: cfg, sessions: map[uint64]*session{}, found: map[Key]*Finding{}}
+}
+
+// Counts tells how many reports had each verdict.
+func (q *Quality) Counts() map[Verdict]uint64 {
+	out := map[Verdict]uint64{}
+	for v, n := range q.counts {
+		out[Verdict(v)] = n
+	}
+	return out
+}
+
+// Sessions is the number of timelines kept.
+func (q *Quality) Sessions() int { return len(q.sessions) }
+
+// Step takes events in the order in which they came and returns findings that began or ended.
+func (q *Quality) Step(now float64, events []Event) []Finding {
+	q.now = now
+	for i := range events {
+		ev := &events[i]
+		switch ev.Kind {
+		case Report:
+			q.counts[q.report(ev)]++
+		case Begun, Adopt:
+			q.begin(ev)
+		default:
+			q.change(ev)
+		}
+	}
+	q.pass()
+	if now-q.looked < q.cfg.LookMs {
+		return nil
+	}
+	q.looked = now
+	return q.look()
+}
+
+func (q *Quality) begin(ev *Event) {
+	if s := q.sessions[ev.Session]; s != nil { // begun again, or told by two ways: the timeline goes on
+		s.ended = 0
+		q.place(s, ev.At, ev.Place)
+		return
+	}
+	s := &session{title: ev.Title, class: ev.Class, brand: ev.Brand, family: ev.Family, partly: ev.Kind == Adopt,
+		spans: []span{{ev.At, ev.Place}}, rung: -1, last: ev.At}
+	q.sessions[ev.Session] = s
+	if ev.StartMs > 0 && ev.Kind == Begun {
+		if w := q.window(ev.At); w != nil {
+			w.start(q, s, &s.spans[0], ev.StartMs)
+		}
+	}
+}
+
+func (q *Quality) change(ev *Event) {
+	s := q.sessions[ev.Session]
+	if s == nil {
+		return
+	}
+	switch ev.Kind {
+	case Moved:
+		q.place(s, ev.At, ev.Place)
+	case Rung:
+		p := s.spans[len(s.spans)-1].Place
+		p.Rung, p.KB = ev.Place.Rung, ev.Place.KB
+		q.place(s, ev.At, p)
+	case Ended:
+		s.ended = ev.At
+	}
+}
+
+// place adds a span. Changes can be told out of order: the timeline is kept by time.
+func (q *Quality) place(s *session, at float64, p Place) {
+	i, same := slices.BinarySearchFunc(s.spans, at, func(x span, t float64) int { return cmp.Compare(x.from, t) })
+	if same {
+		s.spans[i].Place = p
+		return
+	}
+	s.spans = slices.Insert(s.spans, i, span{at, p})
+	if n := q.cfg.MaxSpans; n > 0 && len(s.spans) > n { // the oldest are merged; what they knew is said to be lost
+		s.spans = slices.Delete(s.spans, 0, len(s.spans)-n)
+		s.partly = true
+	}
+}
+
+// spanAt finds where the session was at a time; nil before its known timeline.
+func (s *session) spanAt(at float64) *span {
+	i, same := slices.BinarySearchFunc(s.spans, at, func(x span, t float64) int { return cmp.Compare(x.from, t) })
+	if !same {
+		i--
+	}
+	if i < 0 {
+		return nil
+	}
+	return &s.spans[i]
+}
+
+// nearest finds the span at a box that is closest to a time.
+func (s *session) nearest(at float64, box uint64) *span {
+	best, least := (*span)(nil), math.Inf(1)
+	for i := range s.spans {
+		if s.spans[i].Box != box {
+			continue
+		}
+		to := math.Inf(1)
+		if i+1 < len(s.spans) {
+			to = s.spans[i+1].from
+		}
+		if d := math.Max(math.Max(s.spans[i].from-at, at-to), 0); d < least {
+			best, least = &s.spans[i], d
+		}
+	}
+	return best
+}
+
+// report places one report by its own time.
+func (q *Quality) report(ev *Event) Verdict {
+	s, r := q.sessions[ev.Session], &ev.Seen
+	if s == nil {
+		return Unknown
+	}
+	at, ok := q.clock(s, r)
+	if !ok {
+		return Broken
+	}
+	if q.doubled(s, r) {
+		return Doubled
+	}
+	if s.ended > 0 {
+		at = math.Min(at, s.ended) // what it saw last was seen while it played
+	}
+	p := s.spanAt(at)
+	if r.Box != 0 && (p == nil || p.Box != r.Box) { // near a move the box knows better than a clock
+		if near := s.nearest(at, r.Box); near != nil {
+			p = near
+		}
+	}
+	if p == nil {
+		if s.partly || at < s.spans[0].from-q.cfg.WindowMs {
+			return Before
+		}
+		p = &s.spans[0] // a clock a little behind, at the very start
+		at = p.from
+	}
+	w := q.window(at)
+	if w == nil {
+		q.late = math.Max(q.late, q.watermark()-at)
+		return TooLate
+	}
+	q.remember(s, r)
+	w.report(q, s, p, r, at)
+	return Counted
+}
+
+// clock turns the player's time into the director's. The smallest difference between arrival and the player's
+// time that was ever seen is the skew and the fastest way together; a report can't have been seen after it
+// arrived.
+func (q *Quality) clock(s *session, r *Seen) (float64, bool) {
+	if math.IsNaN(r.At) || math.IsInf(r.At, 0) {
+		return r.Arrived, true
+	}
+	d := r.Arrived - r.At
+	if !s.clocked || d < s.skew {
+		s.skew, s.clocked = d, true
+	}
+	// A clock that is more wrong than allowed is not a clock: what it says of the order of reports is kept, but
+	// a player that jumps is told apart by the bound.
+	if math.Abs(s.skew) > q.cfg.SkewMs && q.cfg.SkewMs > 0 {
+		return r.Arrived, true
+	}
+	at := math.Min(r.At+s.skew, r.Arrived)
+	return at, at > r.Arrived-10*q.cfg.LateMs-q.cfg.SkewMs
+}
+
+// mark is what a report is known by: its number, else its time and content.
+func (r *Seen) mark() uint64 {
+	if r.Number >= 0 {
+		return uint64(r.Number)<<1 | 1
+	}
+	h := math.Float64bits(r.At)*0x9e3779b97f4a7c15 ^ math.Float64bits(r.GotKB)*0xbf58476d1ce4e5b9 ^ math.Float64bits(r.StallMs)
+	return h << 1
+}
+
+func (q *Quality) doubled(s *session, r *Seen) bool {
+	if r.Number < 0 && math.IsNaN(r.At) {
+		return false // nothing tells two of them apart
+	}
+	return slices.Contains(s.seen, r.mark())
+}
+
+func (q *Quality) remember(s *session, r *Seen) {
+	if len(s.seen) < max(q.cfg.MaxSeen, 1) {
+		s.seen = append(s.seen, r.mark())
+		return
+	}
+	s.seen[s.next] = r.mark()
+	s.next = (s.next + 1) % len(s.seen)
+}
+
+// watermark is the time before which windows are closed.
+func (q *Quality) watermark() float64 { return q.now - q.cfg.LateMs }
+
+// pass closes windows behind the watermark and forgets sessions that ended long ago.
+func (q *Quality) pass() {
+	n := 0
+	for n < len(q.open) && q.open[n].From+q.cfg.WindowMs <= q.watermark() {
+		q.closed = append(q.closed, q.open[n])
+		n++
+	}
+	q.open = q.open[n:]
+	if q.now-q.swept < q.cfg.WindowMs {
+		return
+	}
+	q.swept = q.now
+	for id, s := range q.sessions {
+		if s.ended > 0 && q.now-s.ended > q.cfg.KeepMs {
+			delete(q.sessions, id)
+		}
+	}
+}
+
+// Closed takes the windows that were closed since the last call, oldest first.
+func (q *Quality) Closed() []*Window {
+	out := q.closed
+	q.closed = nil
+	return out
+}
+
+// window finds the open window of a time, or makes it; nil behind the watermark.
+func (q *Quality) window(at float64) *Window {
+	if at < 0 {
+		return nil
+	}
+	from := math.Floor(at/q.cfg.WindowMs) * q.cfg.WindowMs
+	if from+q.cfg.WindowMs <= q.watermark() {
+		return nil
+	}
+	i, same := slices.BinarySearchFunc(q.open, from, func(w *Window, t float64) int { return cmp.Compare(w.From, t) })
+	if !same {
+		q.open = slices.Insert(q.open, i, newWindow(from))
+	}
+	return q.open[i]
+}
--- /dev/null
+++ b/decide/quality/window.go
@@ -0,0 +1,194 @@
+package quality
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/DataDog/sketches-go/ddsketch"
+)
+
+// accuracy is the relative error of the sketches' quantiles.
+const accuracy = 0.02
+
+// Group is what is known of one group in one window. Two groups add up with Merge.
+type Group struct {
+	Reports  int64
+	Starts   int64
+	StallMs  float64
+	Stalled  int64   // reports with a stall
+	Score    float64 // sum of the reports' quality
+	Lost     float64 // sum of what was missing to the best that was granted
+	Switches int64
+	startUp  *ddsketch.DDSketch
+	share    *ddsketch.DDSketch
+}
+
+// Window is a span of event time.
+type Window struct {
+	From   float64
+	Whole  Group
+	Groups map[Key]*Group
+	Missed int64 // reports of groups beyond the bound: in Whole only
+}
+
+func newWindow(from float64) *Window { return &Window{From: from, Groups: map[Key]*Group{}} }
+
+func add(s **ddsketch.DDSketch, v float64) {
+	if *s == nil {
+		*s, _ = ddsketch.NewDefaultDDSketch(accuracy) // a constant within its range: it can't fail
+	}
+	(*s).Add(v)
+}
+
+func quantile(s *ddsketch.DDSketch, p float64) float64 {
+	if s == nil {
+		return math.NaN()
+	}
+	v, err := s.GetValueAtQuantile(p)
+	if err != nil {
+		return math.NaN()
+	}
+	return v
+}
+
+// StartUp is a quantile of the start-up time, ms; NaN without any.
+func (g *Group) StartUp(p float64) float64 { return quantile(g.startUp, p) }
+
+// Share is a quantile of the rate got over the rate granted; NaN without any.
+func (g *Group) Share(p float64) float64 { return quantile(g.share, p) }
+
+// Mean is the mean quality of a report; NaN without any.
+func (g *Group) Mean() float64 {
+	if g.Reports == 0 {
+		return math.NaN()
+	}
+	return g.Score / float64(g.Reports)
+}
+
+// Merge adds another director's part.
+func (g *Group) Merge(o *Group) {
+	g.Reports += o.Reports
+	g.Starts += o.Starts
+	g.StallMs += o.StallMs
+	g.Stalled += o.Stalled
+	g.Score += o.Score
+	g.Lost += o.Lost
+	g.Switches += o.Switches
+	for _, x := range []struct{ to, from **ddsketch.DDSketch }{{&g.startUp, &o.startUp}, {&g.share, &o.share}} {
+		switch {
+		case *x.from == nil:
+		case *x.to == nil:
+			*x.to = (*x.from).Copy()
+		default:
+			(*x.to).MergeWith(*x.from) // of one accuracy: it can't fail
+		}
+	}
+}
+
+// Merge adds another director's window of the same time.
+func (w *Window) Merge(o *Window) {
+	w.Whole.Merge(&o.Whole)
+	w.Missed += o.Missed
+	for k, g := range o.Groups {
+		if w.Groups[k] == nil {
+			w.Groups[k] = &Group{}
+		}
+		w.Groups[k].Merge(g)
+	}
+}
+
+// Keys lists a dimension's groups in order.
+func (w *Window) Keys(d Dim) []Key {
+	var out []Key
+	for k := range w.Groups {
+		if k.Dim == d {
+			out = append(out, k)
+		}
+	}
+	slices.SortFunc(out, func(a, b Key) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// keys are the groups of a session at a place.
+func (s *session) keys(p Place) [dims]Key {
+	return [dims]Key{{Rack, p.Rack}, {Box, p.Box}, {Title, s.title}, {Class, s.class}, {Brand, s.brand}, {Family, s.family}}
+}
+
+// each calls f for the whole and for each group of a session.
+func (w *Window) each(q *Quality, s *session, p *span, f func(*Group)) {
+	f(&w.Whole)
+	for _, k := range s.keys(p.Place) {
+		g := w.Groups[k]
+		if g == nil {
+			if q.cfg.MaxGroups > 0 && len(w.Groups) >= q.cfg.MaxGroups {
+				w.Missed++
+				continue
+			}
+			g = &Group{}
+			w.Groups[k] = g
+		}
+		f(g)
+	}
+}
+
+func (w *Window) start(q *Quality, s *session, p *span, ms float64) {
+	w.each(q, s, p, func(g *Group) {
+		g.Starts++
+		add(&g.startUp, ms)
+		g.Lost += q.cfg.StartCost * ms / 1000
+	})
+}
+
+// report counts one report where the session was. Its quality is the linear model's: the rung's, less what
+// changes of rung, stalls and a rate under the granted one cost.
+func (w *Window) report(q *Quality, s *session, p *span, r *Seen, at float64) {
+	rung := p.Rung
+	if r.Rung >= 0 {
+		rung = r.Rung
+	}
+	worth := q.worth(rung)
+	score := worth
+	switched := s.rung >= 0 && s.rung != rung && at >= s.last
+	if switched {
+		score -= q.cfg.SwitchCost * math.Abs(worth-q.worth(s.rung))
+	}
+	score -= q.cfg.StallCost * r.StallMs / 1000
+	share := math.NaN()
+	if r.GotKB >= 0 && p.KB > 0 {
+		share = r.GotKB / p.KB
+	}
+	if at >= s.last { // an older report says nothing of now
+		s.last, s.rung = at, rung
+		stalled := r.StallMs > 0 || r.Starved
+		if !math.IsNaN(share) || stalled {
+			s.short, s.at = share, at
+			if stalled && !(share < q.cfg.ShortUnder) { // it stalled whatever rate it measured
+				s.short = q.cfg.ShortUnder * 0.99
+			}
+		}
+	}
+	lost := math.Max(q.worth(p.Rung)-score, 0)
+	w.each(q, s, p, func(g *Group) {
+		g.Reports++
+		g.Score += score
+		g.Lost += lost
+		g.StallMs += r.StallMs
+		if r.StallMs > 0 || r.Starved {
+			g.Stalled++
+		}
+		if switched {
+			g.Switches++
+		}
+		if !math.IsNaN(share) {
+			add(&g.share, math.Min(share, 4))
+		}
+	})
+}
+
+func (q *Quality) worth(rung int) float64 {
+	if len(q.cfg.RungWorth) == 0 {
+		return 0
+	}
+	return q.cfg.RungWorth[min(max(rung, 0), len(q.cfg.RungWorth)-1)]
+}
--- a/internal/bench/plain.go
+++ b/internal/bench/plain.go
@@ -163,6 +163,7 @@
 	mu sync.Mutex
 	// streams of notes by director; ended sessions go there
 	streams map[string]net.Conn
+	hold    bool // sessions don't end by themselves
 }
 
 // StartBox listens on loopback.
@@ -209,6 +210,13 @@
 				b.notes(c, string(p.Msg.Target))
 				return
 			}
+			if string(p.Msg.Method) != "PUT" {
+				if _, err := c.Write([]byte("HTTP/1.1 204 No Content\r\n\r\n")); err != nil {
+					return
+				}
+				p.Next()
+				continue
+			}
 			name := string(p.Msg.Target[len("/sessions/"):])
 			out = http1.AppendStatus(out[:0], 201)
 			out = append(out, "endpoint-load-metrics: TEXT named_metrics.inflight=10, named_metrics.x0=0.3, named_metrics.x1=0.3\r\nLocation: http://"...)
@@ -224,6 +232,12 @@
 }
 
 func (b *Box) end(name string) {
+	b.mu.Lock()
+	hold := b.hold
+	b.mu.Unlock()
+	if hold {
+		return
+	}
 	time.AfterFunc(lifeMs*time.Millisecond, func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
