A report behind the watermark is too late, whatever is known of its session's timeline

The bounds test failed: a flood of late reports was told as before the timeline, since the timeline is bounded too. Being late is now looked at first. Tests of decide/quality pass.

--- a/decide/quality/quality.go
+++ b/decide/quality/quality.go
@@ -284,6 +284,10 @@
 	if s.ended > 0 {
 		at = math.Min(at, s.ended) // what it saw last was seen while it played
 	}
+	if at < q.watermark()-q.cfg.WindowMs {
+		q.late = math.Max(q.late, q.watermark()-at)
+		return TooLate
+	}
 	p := s.spanAt(at)
 	if r.Box != 0 && (p == nil || p.Box != r.Box) { // near a move the box knows better than a clock
 		if near := s.nearest(at, r.Box); near != nil {
