--- a/decide/limits/returns.go
+++ b/decide/limits/returns.go
@@ -32,7 +32,8 @@
 }
 
 // book finds the earliest slot between least and most ms from now that has room for another return, else the
-// emptiest, and returns a time in it, drawn so that a slot's returns don't come at one moment.
+// emptiest of the later two thirds, and returns a time in it, drawn so that a slot's returns don't come at one moment.
+// Where nothing fits, coming soon is only one more refusal: seen in a rush over sockets.
 func (c *calendar) book(now, least, most, room float64, rng *rand.Rand) float64 {
 	most = math.Min(math.Max(most, 0), float64(calendarSlots-2)*slotMs)
 	least = math.Min(math.Max(least, 0), most)
@@ -44,6 +45,9 @@
 			best = s
 			break
 		}
+		if s < (2*from+to)/3 {
+			continue
+		}
 		switch {
 		case best < 0 || n < c.slots[best%calendarSlots]:
 			best, ties = s, 1
