--- a/cmd/headmill/main_test.go
+++ b/cmd/headmill/main_test.go
@@ -435,7 +435,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := rehearse.Parse("seconds = 16\nrate = 12\nboxes = 8\ntitles = 24\nlife_s = 9\nseed = 3\nsocket = 0.2\n" +
+	s, err := rehearse.Parse("seconds = 16\nrate = 14\ndirectors = 1\nboxes = 8\ntitles = 24\nlife_s = 9\nseed = 3\nsocket = 0.2\n" +
 		"[[trouble]]\nname = \"origin_slow\"\nat_s = 6\nlen_s = 9\nsize = 4\non = [1]\n")
 	if err != nil {
 		t.Fatal(err)
@@ -446,8 +446,8 @@
 		sp.Box.UplinkKB = sp.Box.LinkKB * 1.5
 		sp.Base.Fleet.UplinkKB = sp.Box.UplinkKB
 		sp.Box.Mute = true
-		for i := range sp.Base.Titles { // on every box, so that the racks are alike but for the trouble
-			sp.Base.Titles[i].Home, sp.Base.Titles[i].Copies = 0, 8
+		for i := range sp.Base.Titles { // three on each box, so that the same boxes have sessions on every run
+			sp.Base.Titles[i].Home, sp.Base.Titles[i].Copies = i%8, 1
 		}
 	}}
 	rep, err := r.Play()
@@ -458,7 +458,7 @@
 		t.Errorf("rules broke: %s", strings.Join(rep.Broken, "\n"))
 	}
 	found := 0
-	for _, d := range []string{"d0", "d1"} {
+	for _, d := range []string{"d0"} {
 		log, err := os.ReadFile(filepath.Join(dir, d+".log"))
 		if err != nil {
 			t.Fatal(err)
