Read once more: one reading of /proc, one walk over what waits, unused calls out

Removed what was written twice (processor time and resident memory) or never called (loop.Reset, Lag, Conns, Peer, Loop, Director.Sizes); the cut of waiting output walks in one place. A body longer than said is now also caused on the socket.

--- a/cmd/headmill/main_test.go
+++ b/cmd/headmill/main_test.go
@@ -10,12 +10,12 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"headmill/internal/bench"
 	"headmill/internal/standin/rehearse"
 	"headmill/internal/standin/stage"
 )
@@ -291,7 +291,7 @@
 func TestIdleConnections(t *testing.T) {
 	st := fleet(t, 1, 1, nil)
 	const n = 10000
-	before := rssKB(t, st.Directors[0].Proc.Pid())
+	before := bench.Resident(st.Directors[0].Proc.Pid())
 	conns := make([]net.Conn, 0, n)
 	defer func() {
 		for _, c := range conns {
@@ -316,29 +316,13 @@
 	if s, text := manifest(st, 0, "how-to-top-up", "a"); s != 200 {
 		t.Fatalf("%d %s", s, text)
 	}
-	each := float64(rssKB(t, st.Directors[0].Proc.Pid())-before) * 1024 / n
+	each := (bench.Resident(st.Directors[0].Proc.Pid()) - before) / n
 	t.Logf("%.0f bytes of resident memory for each idle connection", each)
 	if each > 4096 {
 		t.Errorf("%.0f bytes for each idle connection", each)
 	}
 }
 
-func rssKB(t *testing.T, pid int) int {
-	t.Helper()
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, line := range strings.Split(string(text), "\n") {
-		if f := strings.Fields(line); len(f) > 1 && f[0] == "VmRSS:" {
-			n, _ := strconv.Atoi(f[1])
-			return n
-		}
-	}
-	t.Fatal("no VmRSS")
-	return 0
-}
-
 func TestTokensAndCheck(t *testing.T) {
 	dir := t.TempDir()
 	keys := filepath.Join(dir, "keys.json")
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -182,16 +182,6 @@
 // Stats returns the counts. For the loop's goroutine.
 func (d *Director) Stats() Stats { return d.stats }
 
-// Sizes tells how many entries the tables hold, by purpose. For the loop's goroutine.
-func (d *Director) Sizes() map[string]int {
-	conns := 0
-	for _, b := range d.boxes {
-		conns += b.conns
-	}
-	return map[string]int{"sessions": len(d.sessions), "viewers": len(d.viewers), "waiters": len(d.waiters),
-		"ledger": d.ledger.Entries(), "boxes": len(d.boxes), "box_connections": conns, "tokens": d.check.Cached()}
-}
-
 // Boxes is the number of boxes on the believed list. For the loop's goroutine.
 func (d *Director) Boxes() int { return d.fleet.Len() }
 
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -442,6 +442,25 @@
 	}
 }
 
+// A body longer than said is the next request's beginning, or a broken chunk: either is refused and ends the
+// connection.
+func TestBodiesLongerThanSaid(t *testing.T) {
+	r := newRig(t, 1, nil)
+	for _, text := range []string{"Content-Length: 3\r\n\r\nabcdefgh \r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n3\r\nabcdef\r\n0\r\n\r\n"} {
+		c, err := net.Dial("tcp4", r.d.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(c, "POST /x HTTP/1.1\r\nHost: x\r\n%s", text)
+		c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		b, _ := io.ReadAll(c)
+		c.Close()
+		if !strings.Contains(string(b), "HTTP/1.1 400 ") || strings.Count(string(b), "HTTP/1.1 ") > 2 {
+			t.Errorf("%q: %q", text, b)
+		}
+	}
+}
+
 // A drain is told while set-ups wait: nothing new goes there, what plays goes on.
 func TestDrain(t *testing.T) {
 	r := newRig(t, 2, nil)
--- a/internal/director/limits.go
+++ b/internal/director/limits.go
@@ -73,10 +73,18 @@
 	}
 	d.gate.Step(now, []limits.Event{ev}, nil)
 	d.accounts.Set(limits.Ledger, int64(d.ledger.Entries()))
-	waits, worst := 0, (*loop.Conn)(nil)
+	waits, worst := d.waiting()
+	for !d.accounts.Set(limits.Outgoing, int64(waits)) && worst != nil {
+		worst.Close(loop.ErrSlowReader)
+		waits, worst = d.waiting()
+	}
+}
+
+// waiting adds up the bytes that wait for viewers, and finds the connection with most of them.
+func (d *Director) waiting() (sum int, worst *loop.Conn) {
 	look := func(c *loop.Conn) {
 		n := c.Pending()
-		if waits += n; n > 0 && (worst == nil || n > worst.Pending()) {
+		if sum += n; n > 0 && (worst == nil || n > worst.Pending()) {
 			worst = c
 		}
 	}
@@ -86,19 +94,5 @@
 	for k := range d.sockets {
 		look(k.c)
 	}
-	for !d.accounts.Set(limits.Outgoing, int64(waits)) && worst != nil {
-		waits -= worst.Pending()
-		worst.Close(loop.ErrSlowReader)
-		worst = nil
-		for v := range d.viewers {
-			if v.c.Open() && v.c.Pending() > 0 && (worst == nil || v.c.Pending() > worst.Pending()) {
-				worst = v.c
-			}
-		}
-		for k := range d.sockets {
-			if k.c.Open() && k.c.Pending() > 0 && (worst == nil || k.c.Pending() > worst.Pending()) {
-				worst = k.c
-			}
-		}
-	}
+	return sum, worst
 }
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 
 	"golang.org/x/sys/unix"
 )
@@ -106,15 +105,9 @@
 	}
 }
 
-// Loop is the loop that serves c.
-func (c *Conn) Loop() *Loop { return c.l }
-
 // SetHandler hands the connection to another owner, as at a change of protocol.
 func (c *Conn) SetHandler(h Handler) { c.h = h }
 
-// Peer is the other side's address.
-func (c *Conn) Peer() string { return format(c.peer) }
-
 // Open tells whether bytes can still be written.
 func (c *Conn) Open() bool { return c.state == open && !c.ending }
 
@@ -272,11 +265,6 @@
 // Refused tells whether err is the peer's machine saying that nobody listens there.
 func Refused(err error) bool { return errors.Is(err, unix.ECONNREFUSED) }
 
-// Reset tells whether err means that the peer broke the connection off.
-func Reset(err error) bool {
-	return errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.EPIPE) || errors.Is(err, io.ErrUnexpectedEOF)
-}
-
 // Quiet tells whether an idle connection is still usable: open, nothing unread, no end of stream. It closes
 // the gap in which a peer's close has reached the kernel and not yet the loop.
 func (c *Conn) Quiet() bool {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -48,7 +48,6 @@
 	buf      []byte
 	events   []unix.EpollEvent
 	dead     []*Conn // closed in this round: told after the round's events
-	lag      float64
 	worst    float64
 	round    func()
 
@@ -89,9 +88,6 @@
 // Now is the time of the present round in ms since New; it never runs backwards.
 func (l *Loop) Now() float64 { return l.now }
 
-// Lag is how many ms the last round's work took: what a new event waited at most.
-func (l *Loop) Lag() float64 { return l.lag }
-
 // WorstLag is the longest round, in ms, since it was last asked.
 func (l *Loop) WorstLag() float64 {
 	w := l.worst
@@ -99,9 +95,6 @@
 	return w
 }
 
-// Conns is the number of open connections.
-func (l *Loop) Conns() int { return len(l.slots) }
-
 // Post hands f to the loop's goroutine; it is the only door from other goroutines.
 func (l *Loop) Post(f func()) {
 	l.mu.Lock()
@@ -212,8 +205,7 @@
 			return nil
 		}
 		l.tick()
-		l.lag = l.now - began
-		l.worst = max(l.worst, l.lag)
+		l.worst = max(l.worst, l.now-began)
 	}
 }
 
--- a/internal/standin/rehearse/rehearse.go
+++ b/internal/standin/rehearse/rehearse.go
@@ -6,7 +6,6 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -17,6 +16,7 @@
 	"github.com/golang-jwt/jwt/v5"
 
 	"headmill/internal/audit"
+	"headmill/internal/bench"
 	"headmill/internal/config"
 	"headmill/internal/standin/box"
 	"headmill/internal/standin/player"
@@ -91,7 +91,7 @@
 	r.living.Wait()
 	for _, m := range st.Directors {
 		if m.Proc.Alive() {
-			r.CPU = append(r.CPU, cpuMs(m.Proc.Pid()))
+			r.CPU = append(r.CPU, bench.CPUMs(m.Proc.Pid()))
 		}
 	}
 	time.Sleep(300 * time.Millisecond) // the last notes
@@ -374,18 +374,3 @@
 	}
 	return t
 }
-
-// cpuMs is the processor time of a process (proc(5), stat: utime and stime in ticks of 10 ms).
-func cpuMs(pid int) float64 {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0
-	}
-	f := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
-	if len(f) < 13 {
-		return 0
-	}
-	u, _ := strconv.ParseFloat(f[11], 64)
-	s, _ := strconv.ParseFloat(f[12], 64)
-	return (u + s) * 10
-}
