Brands share out what their sessions hold, not how often they are let in

A gate on the rate of placements gives every freed seat to whoever asks most often. decide/limits now books what each brand holds, by cell, at full rate and in places (the larger part counts), against the director's part of the room. A brand that asks for far more than another in proportion is held to its share and to what others leave under the load up to which rungs are raised; its newcomers play at lower rungs so that more of them fit. Loans and repeated tries leave a spare free: Event.Spare, the module's one new input, more headroom in its own test.

--- a/api.go
+++ b/api.go
@@ -16,6 +16,12 @@
 	"math"
 )
 
+// Loads of a link or uplink, asked over given: up to FillTo set-ups may fill it, up to RaiseTo rungs are raised.
+const (
+	FillTo  = 0.90
+	RaiseTo = 0.80
+)
+
 // ServerID is an opaque name of a media server: 4 address bytes and a port.
 type ServerID uint64
 
@@ -164,6 +170,7 @@
 	Home        int     // first cell that holds the title
 	Copies      int     // cells in a row that hold it
 	TopRung     int     // highest rung of this viewer
+	Spare       float64 // share of a link, an uplink and the places that must stay free beside it
 	TookMs      float64
 	Outcome     Outcome
 	Finished    bool
--- a/controller.go
+++ b/controller.go
@@ -18,11 +18,11 @@
 )
 
 const (
-	mark         = 0.90    // share of a link or uplink that set-ups may fill: rates spread
+	mark         = FillTo  // share of a link or uplink that set-ups may fill: rates spread
 	reliefAt     = 1.0     // load above which own sessions are lowered: shares under 0.98 cost worth
 	worseAt      = 1.06    // load above which rungs that earn most for a kB go down too: viewers leave next
 	reliefTo     = 0.97    // load that a relief aims at: no more is lowered than what falls short
-	raiseTo      = 0.80    // link load that raising may reach: a change costs, so room is left for set-ups
+	raiseTo      = RaiseTo // link load that raising may reach: a change costs, so room is left for set-ups
 	tickMs       = 250.0   // ms between looks at the fleet: well under the second after which viewers notice
 	payback      = 2.0     // a rung is raised only for this many times the price of the change
 	lifeGuessS   = 15.0    // s a session of unknown length is taken to go on
@@ -132,6 +132,7 @@
 	server              *server // of the attempt that is out or plays
 	rung, plan          int     // in force; what lower or raise means to set
 	playing, mayHaveRun bool
+	spare               float64 // share of each room that must stay free beside it
 	tries               int
 	tried               []ServerID
 	ranAt               float64 // of the first attempt that may have run
@@ -417,7 +418,7 @@
 func (c *Controller) newSession(ev *Event) *session {
 	k := &c.cfg.Classes[min(ev.Class, len(c.cfg.Classes)-1)]
 	s := &session{id: ev.Session, class: k, classNo: ev.Class, title: ev.Title,
-		home: ev.Home, n: ev.Copies, deadline: c.now + ev.RemainingMs,
+		home: ev.Home, n: ev.Copies, deadline: c.now + ev.RemainingMs, spare: ev.Spare,
 		top: min(ev.TopRung, k.Top, len(c.cfg.RateKB)-1)}
 	s.sort = min(ev.Class, len(c.cfg.Classes)-1)*len(c.cfg.RateKB) + max(s.top, 0)
 	if ev.HintMs > 0 {
@@ -469,12 +470,13 @@
 }
 
 // admits is the link-and-stream test: the rung's rate must fit under the mark on the link and the uplink.
-func (c *Controller) admits(v *server, kb float64) bool {
-	return c.linkLoad(v)+kb/v.link.cap <= mark && c.rackLoad(v.rack)+kb/v.rack.up.cap <= mark && c.hasPlace(v)
+func (c *Controller) admits(s *session, v *server, kb float64) bool {
+	return c.linkLoad(v)+kb/v.link.cap <= mark-s.spare && c.rackLoad(v.rack)+kb/v.rack.up.cap <= mark-s.spare &&
+		c.hasPlace(s, v)
 }
 
-func (c *Controller) hasPlace(v *server) bool {
-	return c.now >= v.full && c.streams(v) < c.places(v)
+func (c *Controller) hasPlace(s *session, v *server) bool {
+	return c.now >= v.full && c.streams(v) < c.places(v)*(1-s.spare)
 }
 
 func (c *Controller) streams(v *server) float64 {
@@ -515,7 +517,7 @@
 		if v.Zone != c.cfg.Zone {
 			l += farLoad
 		}
-		if (l < least || l == least && o > first || v == token) && c.admits(v, kb) {
+		if (l < least || l == least && o > first || v == token) && c.admits(s, v, kb) {
 			if heir, least, first = v, l, o; v == token {
 				break
 			}
@@ -624,11 +626,11 @@
 func (c *Controller) makeRoom(s *session, holders []*server, rung int, kb float64) *server {
 	sort.SliceStable(holders, func(i, j int) bool { return c.load(holders[i]) < c.load(holders[j]) })
 	for _, v := range holders {
-		if !c.hasPlace(v) {
+		if !c.hasPlace(s, v) {
 			continue
 		}
-		link := kb - (mark-c.linkLoad(v))*v.link.cap
-		up := kb - (mark-c.rackLoad(v.rack))*v.rack.up.cap
+		link := kb - (mark-s.spare-c.linkLoad(v))*v.link.cap
+		up := kb - (mark-s.spare-c.rackLoad(v.rack))*v.rack.up.cap
 		c.pool = append(c.pool[:0], v.sessions...)
 		if up > link {
 			for _, o := range v.rack.servers {
--- a/controller_test.go
+++ b/controller_test.go
@@ -661,3 +661,31 @@
 		}
 	}
 }
+
+// A request that must leave room free is tested with that much more headroom on link, uplink and places; one that
+// need not is not.
+func TestSpareIsLeftFree(t *testing.T) {
+	for spare, want := range map[float64]bool{0: true, 0.1: true, 0.3: false} {
+		b := start(t, testConfig())
+		b.tell(0.6) // a floor of 50 kB/s on links of 1,000 fits up to 0.85
+		acts := b.step(Event{Kind: EvRequest, Session: 1, Title: 42, RemainingMs: 3000, Copies: 3, TopRung: 0, Spare: spare})
+		if _, _, ok := sent(acts); ok != want {
+			t.Errorf("spare of %v beside a load of 0.6: set up %v", spare, ok)
+		}
+	}
+	cfg := testConfig()
+	cfg.Places, cfg.Cells = []int{4}, 6
+	b := start(t, cfg)
+	b.tell(0)
+	for id := SessionID(1); id <= 3; id++ { // three of four places of the only holder
+		acts := b.step(Event{Kind: EvRequest, Session: id, Title: 42, RemainingMs: 3000, Copies: 1, TopRung: 0})
+		to, _, _ := sent(acts)
+		b.play(id, to)
+	}
+	if _, _, ok := sent(b.step(Event{Kind: EvRequest, Session: 8, Title: 42, RemainingMs: 3000, Copies: 1, Spare: 0.25})); ok {
+		t.Error("the last place went to a request that must leave a quarter free")
+	}
+	if _, _, ok := sent(b.step(Event{Kind: EvRequest, Session: 9, Title: 42, RemainingMs: 3000, Copies: 1})); !ok {
+		t.Error("the last place is not given at all")
+	}
+}
--- a/decide/fleet/fleet.go
+++ b/decide/fleet/fleet.go
@@ -97,6 +97,16 @@
 	return 0
 }
 
+// Servers is the list as the module is told it, by number.
+func (l *List) Servers() []headmill.Server {
+	out := make([]headmill.Server, 0, len(l.boxes))
+	for _, k := range l.boxes {
+		out = append(out, k.server())
+	}
+	slices.SortFunc(out, func(a, b headmill.Server) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
 // Format is the address that a number stands for.
 func Format(id headmill.ServerID) string {
 	return fmt.Sprintf("%d.%d.%d.%d:%d", id&255, id>>8&255, id>>16&255, id>>24&255, id>>32&65535)
--- a/decide/limits/brands.go
+++ b/decide/limits/brands.go
@@ -2,15 +2,15 @@
 
 import "math"
 
-// brand is one tenant's bucket, as in hierarchical token buckets (Devera's HTB): it fills at the brand's part
-// of the placements that are measured, and what is let through beyond it is on loan (Gate.loan). What a brand
-// leaves unused is room that loans find; an owner who comes back finds its bucket full, and loans give way.
+// brand is one tenant: what it holds in each cell, and how its titles fare.
 type brand struct {
 	Brand
 	part   float64
-	tokens float64
-	most   float64 // tokens of the cap, where there is one
-	loans  float64 // tokens beyond its own part, and for repeated tries
+	held   []Room  // by cell
+	wants  rate    // first tries a ms
+	fit    float64 // part of its viewers' full rates at which what it wants would fit into its share
+	asked  float64 // first tries since it was last moved, and those refused for want of rate
+	missed float64
 	titles map[uint64]*title
 	swept  float64
 }
@@ -21,50 +21,24 @@
 	unmet    float64 // when it was last refused; 0: never
 }
 
-func (b *brand) depth(whole float64) float64 { return math.Max(whole*b.part*depthMs, 1) }
-
-// start fills a bucket for its first use.
-func (b *brand) start(whole float64) {
-	b.tokens, b.loans = b.depth(whole)/2, 0
-	b.most = math.Max(whole*b.Most*depthMs, 1)
-}
-
-// fill adds the time's tokens.
-func (b *brand) fill(ms, whole float64) {
-	b.tokens = math.Min(b.tokens+whole*b.part*ms, b.depth(whole))
-	if b.Most > 0 {
-		b.most = math.Min(b.most+whole*b.Most*ms, math.Max(whole*b.Most*depthMs, 1))
-	}
-}
-
-// borrow adds the brand's part of the loans and returns what it does not use, for all.
-func (b *brand) borrow(ms, loan float64) float64 {
-	b.loans += loan * b.part * ms
-	over := b.loans - math.Max(loan*b.part*slotMs, 1)
-	if over <= 0 {
-		return 0
-	}
-	b.loans -= over
-	return over
-}
-
-// capped tells whether the brand has had the largest part that it may have.
-func (b *brand) capped() bool { return b.Most > 0 && b.most < 1 }
-
-// spend uses a token of the brand's own, or one on loan.
-func (b *brand) spend(from *float64) {
-	*from--
-	if b.Most > 0 {
-		b.most--
+// refit moves fit once a slot: down by at most a fifth, as far as first tries were refused, and slowly up again
+// where none were.
+// It never falls under least.
+func (b *brand) refit(least float64) {
+	if b.missed > 0 {
+		b.fit = math.Max(b.fit*(1-fitDown*b.missed/b.asked), least)
+	} else {
+		b.fit = math.Min(b.fit*fitUp, 1)
 	}
+	b.asked, b.missed = 0, 0
 }
 
 // title finds a title's counts; those not seen for a while are forgotten.
 func (b *brand) title(id uint64, now float64) *title {
-	if now-b.swept > depthMs {
+	if now-b.swept > titleMs {
 		b.swept = now
 		for k, t := range b.titles {
-			if now-t.at > 4*depthMs {
+			if now-t.at > 4*titleMs {
 				delete(b.titles, k)
 			}
 		}
@@ -74,7 +48,7 @@
 		t = &title{at: now}
 		b.titles[id] = t
 	}
-	t.used *= math.Exp(-(now - t.at) / depthMs)
+	t.used *= math.Exp(-(now - t.at) / titleMs)
 	t.at = now
 	return t
 }
@@ -85,8 +59,8 @@
 func (b *brand) starves(t *title, now float64) bool {
 	sum, n, waits := 0.0, 0, false
 	for _, o := range b.titles {
-		used := o.used * math.Exp(-(now-o.at)/depthMs)
-		lately := o.unmet > 0 && now-o.unmet < depthMs
+		used := o.used * math.Exp(-(now-o.at)/titleMs)
+		lately := o.unmet > 0 && now-o.unmet < titleMs
 		if used > 0.5 || lately {
 			sum += used
 			n++
--- /dev/null
+++ b/decide/limits/held.go
@@ -0,0 +1,256 @@
+package limits
+
+import (
+	"math"
+
+	"headmill"
+)
+
+// What is shared out is what sessions hold, not how often they were let in: a session holds its room until its
+// clip ends, and once the boxes are full a free seat goes to whoever asks most often. Held is counted at the rate
+// of the highest rung that the session may have, so that a brand whose sessions were squeezed to the floor is not
+// taken for a small one. Of the
+// two things that run short, rate and places, the one of which a brand holds the larger part counts: dominant
+// resource fairness (Ghodsi and others, NSDI 2011).
+
+// Room is what there is, or what is held, in a cell.
+type Room struct {
+	KB    float64 // kB/s
+	Seats float64
+}
+
+func (r *Room) add(o Room, by float64) { r.KB += o.KB * by; r.Seats += o.Seats * by }
+
+// part is the larger part that r is of the whole.
+func (r Room) part(whole Room) float64 {
+	p := 0.0
+	if whole.KB > 0 {
+		p = r.KB / whole.KB
+	}
+	if whole.Seats > 0 {
+		p = math.Max(p, r.Seats/whole.Seats)
+	}
+	return p
+}
+
+// Fleet works out the room of each cell that is one director's part: of links, of what the racks' uplinks leave
+// them as far as set-ups may fill both, and of places.
+type Fleet struct {
+	Cfg      headmill.Config // as the module is told it
+	perPlace float64         // kB/s of link for each place, or each box, of the first list
+}
+
+// Rooms returns the room by cell; servers are those of the box list.
+func (f *Fleet) Rooms(servers []headmill.Server) []Room {
+	cfg, out := &f.Cfg, make([]Room, f.Cfg.Cells)
+	fronts := float64(max(cfg.Fronts, 1))
+	places := func(s *headmill.Server) float64 {
+		if s.Kind < len(cfg.Places) {
+			return float64(cfg.Places[s.Kind])
+		}
+		return 0
+	}
+	size := func(s *headmill.Server) float64 {
+		if n := places(s); n > 0 {
+			return n
+		}
+		return 1
+	}
+	if f.perPlace == 0 {
+		all := 0.0
+		for i := range servers {
+			all += size(&servers[i])
+		}
+		f.perPlace = cfg.AllLinksKB / math.Max(all, 1)
+	}
+	links := make([]float64, len(servers))
+	racks := make([]float64, max(cfg.Racks, 1))
+	for i := range servers {
+		s := &servers[i]
+		if links[i] = size(s) * f.perPlace; cfg.WeightsKnown && cfg.LinkUnitKB > 0 {
+			links[i] = s.Weight * cfg.LinkUnitKB
+		}
+		if s.Health == headmill.Ready {
+			racks[s.Cell%len(racks)] += links[i]
+		}
+	}
+	for i := range servers {
+		s := &servers[i]
+		if s.Health != headmill.Ready || len(out) == 0 {
+			continue
+		}
+		kb := links[i]
+		if up := racks[s.Cell%len(racks)]; cfg.UplinkKB > 0 && up > cfg.UplinkKB {
+			kb *= cfg.UplinkKB / up
+		}
+		out[s.Cell%len(out)].add(Room{kb * headmill.FillTo, places(s)}, 1/fronts)
+	}
+	return out
+}
+
+// hold is what one session holds: all of it in one cell, or an equal part in each cell that could be its own
+// while it is set up.
+type hold struct {
+	b            *brand
+	home, copies int
+	kb           float64
+}
+
+// spread calls do for each cell of a title that lies in copies cells from home on.
+func (g *Gate) spread(home, copies int, do func(cell int)) {
+	n := len(g.rooms)
+	for j := 0; j < copies && j < n; j++ {
+		do(((home+j)%n + n) % n)
+	}
+}
+
+func (g *Gate) book(h *hold, by float64) {
+	n := float64(max(min(h.copies, len(g.rooms)), 1))
+	g.spread(h.home, h.copies, func(c int) { h.b.held[c].add(Room{h.kb, 1}, by/n) })
+}
+
+func (g *Gate) begin(ev *Event) {
+	g.drop(ev.ID)
+	h := &hold{b: g.brand(ev.Brand), home: ev.Home, copies: max(ev.Copies, 1), kb: g.kb(ev.Class, ev.Top)}
+	g.holds[ev.ID] = h
+	g.book(h, 1)
+}
+
+// settle books a session that plays in the one cell where it does.
+func (g *Gate) settle(ev *Event) {
+	h := g.holds[ev.ID]
+	if h == nil {
+		return
+	}
+	g.book(h, -1)
+	h.home, h.copies = ev.Home, 1
+	g.book(h, 1)
+	g.moving.add(h.kb)
+}
+
+// drop takes a session out of the books; one that is not in them is left so.
+func (g *Gate) drop(id uint64) {
+	if h := g.holds[id]; h != nil {
+		g.book(h, -1)
+		delete(g.holds, id)
+	}
+}
+
+// recount books all sessions anew, after cells or brands have changed.
+func (g *Gate) recount() {
+	g.whole = Room{}
+	for _, r := range g.rooms {
+		g.whole.add(r, 1)
+	}
+	listed := map[*brand]bool{}
+	for _, b := range g.brands {
+		listed[b] = true
+		b.held = make([]Room, len(g.rooms))
+	}
+	for _, h := range g.holds {
+		if !listed[h.b] {
+			h.b = g.brands[len(g.brands)-1]
+		}
+		g.book(h, 1)
+	}
+}
+
+// standing is how a request stands to its brand's share.
+type standing uint8
+
+const (
+	within standing = iota // of the share
+	lent                   // of what others leave
+	beyond
+)
+
+// presses tells whether a brand asks for much more than another one in proportion to their shares, beyond what
+// counts of a few seconds wander by. Where all ask alike, however much, nobody's share is in danger: the module
+// sees to the rungs.
+func (g *Gate) presses(b *brand) bool {
+	const ms = rateTauMs * wantsTaus
+	for _, o := range g.brands {
+		n := o.wants.perMs * ms
+		if o != b && o.part > 0 && n > 0 && b.wants.perMs*ms*o.part > pressFrom*(n+2*math.Sqrt(n))*b.part {
+			return true
+		}
+	}
+	return false
+}
+
+// stand tells how one more session of the brand would stand on the cells that hold its title. Within its share is
+// a brand that does not press, or that holds less than its share there. Beyond it, what all hold must leave room
+// for the request, and the spare, under the load up to which the module raises rungs: a loan costs no owner a rung.
+// rates tells that it is rate, not places, of which the brand holds the larger part.
+func (g *Gate) stand(b *brand, ev *Event, kb float64) (s standing, rates bool) {
+	if len(g.brands) < 2 || len(g.rooms) == 0 {
+		return within, false
+	}
+	var whole, mine, all Room
+	g.spread(ev.Home, max(ev.Copies, 1), func(c int) {
+		whole.add(g.rooms[c], 1)
+		mine.add(b.held[c], 1)
+	})
+	for _, o := range g.brands {
+		g.spread(ev.Home, max(ev.Copies, 1), func(c int) { all.add(o.held[c], 1) })
+	}
+	part := mine.part(whole)
+	rates = whole.KB > 0 && mine.KB/whole.KB >= part
+	if b.Most > 0 && part >= b.Most {
+		return beyond, rates
+	}
+	if !g.presses(b) || part < b.part {
+		return within, rates
+	}
+	all.add(Room{kb, 1}, 1)
+	if all.part(whole)+g.spare() <= headmill.RaiseTo/headmill.FillTo {
+		return lent, rates
+	}
+	return beyond, rates
+}
+
+// kb is what a session of a class takes at a rung, kB/s.
+func (g *Gate) kb(class, rung int) float64 {
+	k := &g.cfg.Classes[min(max(class, 0), len(g.cfg.Classes)-1)]
+	return g.cfg.RateKB[min(max(rung, k.Floor, 0), len(g.cfg.RateKB)-1)] * k.Scale
+}
+
+// top is the highest rung that a request's session may have. A brand whose first tries don't all fit into its
+// share has its newcomers in at lower rungs, so that more of them play on the same room; never under the rung that
+// earns most for a kB, and drawn between two rungs so that the mean is what fits. Without a limit it is the
+// viewer's own.
+func (g *Gate) top(b *brand, ev *Event) int {
+	k := &g.cfg.Classes[min(max(ev.Class, 0), len(g.cfg.Classes)-1)]
+	most := min(ev.Top, k.Top, len(g.cfg.RateKB)-1)
+	if b.fit >= 1 {
+		return ev.Top
+	}
+	least := max(k.Floor, 0)
+	for r := least + 1; r <= most; r++ {
+		if g.cfg.Worth[r]*g.cfg.RateKB[least] > g.cfg.Worth[least]*g.cfg.RateKB[r] {
+			least = r
+		}
+	}
+	want := g.cfg.RateKB[max(most, 0)] * b.fit
+	r := most
+	for r > least && g.cfg.RateKB[r] > want {
+		r--
+	}
+	if r < most {
+		low, high := g.cfg.RateKB[r], g.cfg.RateKB[r+1]
+		if g.rng.Float64() < (want-low)/(high-low) {
+			r++
+		}
+	}
+	return r
+}
+
+// spare is the share of room that loans and repeated tries must leave free: what is placed within the time until it
+// would be known (trunk reservation, as loss networks have it). What is asked for is no measure: in a rush that is
+// more than ever comes free, and half of the room would stand empty.
+func (g *Gate) spare() float64 {
+	if g.whole.KB <= 0 {
+		return 0
+	}
+	return math.Min(g.moving.perMs*g.cfg.KnownMs/g.whole.KB, mostSpare)
+}
--- a/decide/limits/limits.go
+++ b/decide/limits/limits.go
@@ -1,17 +1,18 @@
 // Package limits decides what may come in before the module is asked: which
 // requests a director refuses because it is itself overloaded, because a brand
-// has used its share, because one title would starve the others of its brand,
-// or because a repeated try would crowd out first ones; and when a refused
-// viewer should come again. It also keeps the accounts of memory by purpose and
-// works out the weight that balancers are told.
+// holds more than its share, or because one title would starve the others of
+// its brand; how much room must stay free for others when it lets a loan or a
+// repeated try through; and when a refused viewer should come again. It also
+// keeps the accounts of memory by purpose and works out the weight that
+// balancers are told.
 //
 // It is pure: events with their time go in by Step, decisions come out; chance
 // comes from a seed. Nothing is ever held back: each request is answered in the
 // Step that brings it.
 //
-// While the boxes have room for all, everything passes. Shares, titles and
-// repeated tries only count for titles that the module refuses for want of room:
-// a title lies on some boxes only, and others may have plenty.
+// While the boxes have room for all, everything passes. Shares and titles only
+// count for titles that the module refuses for want of room: a title lies on
+// some boxes only, and others may have plenty.
 package limits
 
 import (
@@ -26,13 +27,12 @@
 	scarceFrom  = 0.05   // share of placements refused for want of room from which shares count
 	leastTried  = 8.0    // placements tried lately, or their share says nothing
 	scarceHold  = 1000.0 // ms that shares go on counting after the last refusal by them or by the module
-	leastRate   = 0.001  // placements a ms that may be tried at least, or nothing would ever be learned,
-	leastPart   = 0.05   // and at least this part of the measured rate
-	idlePart    = 0.75   // of a brand's bucket: fuller, it leaves so much unused that its repeated tries pass too
-	loanUp      = 1.06   // growth of loans a slot while every request within a share finds room: 26% a second
-	loanDown    = 0.5    // what is left of them after a slot in which one did not
-	usedPart    = 0.7    // of the loans; they grow only where so much of them is used
-	depthMs     = 1000.0 // ms of its rate that a brand's bucket holds: what it may come back with at once
+	fitDown     = 0.2    // of a brand's fit in a slot in which all its first tries were refused
+	fitUp       = 1.1    // its growth in a slot in which none was: 46% a second
+	wantsTaus   = 3.0    // times as long is what brands ask for remembered
+	pressFrom   = 1.5    // times what another brand asks for, in proportion to their shares
+	mostSpare   = 0.5    // of the room that is ever kept free from loans and repeated tries
+	titleMs     = 1000.0 // ms in which a title's count of what it was let through forgets two thirds
 	calmFrom    = 0.8    // part of a limit from which load is shed
 	panicAt     = 1.5    // part of a limit at which everything new is shed
 	calmTauMs   = 1000.0 // ms in which a fallen load is believed by two thirds
@@ -43,14 +43,22 @@
 // Brand is one tenant.
 type Brand struct {
 	Name  string
-	Share float64 // its part of what is placed; parts are scaled to add up to 1
-	Most  float64 // the largest part that it may have, loans included; 0: no such cap
+	Share float64 // its part of what the boxes carry; parts are scaled to add up to 1
+	Most  float64 // the largest part that it may hold, loans included; 0: no such cap
+}
+
+// Class is what the gate is told of a class.
+type Class struct {
+	Value, Scale float64
+	Floor, Top   int
 }
 
 // Config is what the gate is told.
 type Config struct {
-	Brands      []Brand   // the last one also stands for names that are not listed
-	Values      []float64 // worth of each class
+	Brands      []Brand // the last one also stands for names that are not listed
+	Classes     []Class
+	RateKB      []float64 // the ladder, kB/s
+	Worth       []float64 // of each rung
 	MinRetryMs  float64   // advice is never shorter
 	MaxRetryMs  float64   // nor longer
 	RememberMs  float64   // how long a refused wish is known as such when it comes again
@@ -58,6 +66,7 @@
 	LagMs       float64   // loop lag that counts as full load
 	Queue       float64   // waiting events that count as full load
 	MemoryBytes float64   // memory that counts as full load; 0: not looked at
+	KnownMs     float64   // until what others send to a box is known here: as long room must last
 	PassAll     bool      // decide nothing, for comparison
 }
 
@@ -66,9 +75,12 @@
 
 // The events.
 const (
-	Ask    EventKind = iota // ID, Wish, Brand, Title, Class: a new wanted session
-	Placed                  // Wish, Brand, Title: the module found room, it plays
+	Ask    EventKind = iota // ID, Wish, Brand, Title, Class, Home, Copies, Top: a new wanted session
+	Begin                   // ID, Brand, Class, Home, Copies, Top: session ID is being set up somewhere
+	Placed                  // ID, Wish, Brand, Title, Home: session ID plays in cell Home
+	Over                    // ID: session ID holds nothing any more
 	NoRoom                  // ID, Wish, Brand, Title: the module refused for want of room; answered with advice
+	Rooms                   // Room: the fleet has changed
 	Load                    // LagMs, Queue, MemoryBytes
 	Tick
 )
@@ -80,9 +92,11 @@
 	Wish         uint64 // what is wanted by whom; the same when a viewer comes again
 	Title        uint64
 	Brand, Class int
-	Loan         bool // of NoRoom: as the Action that let it through said
+	Home, Copies int // the first cell that holds the title, and how many in a row do
+	Top          int // the viewer's highest rung; of Begin: as the Action said
 	LagMs, Queue float64
 	MemoryBytes  float64
+	Room         []Room // by cell; only read during Step
 }
 
 // Reason tells why a request is not let through.
@@ -92,13 +106,12 @@
 const (
 	Pass     Reason = iota
 	Overload        // the director itself is over its limits
-	Share           // the brand has used its part while others want theirs
+	Share           // the brand holds its share, and what others leave is used
 	Title           // the title has more than its part of the brand
-	Repeat          // first tries need the room
-	Room            // the module's refusal; only the advice is from here
+	NoBox           // the module's refusal; only the advice is from here
 )
 
-var reasonNames = [...]string{"pass", "overload", "share", "title", "repeat", "room"}
+var reasonNames = [...]string{"pass", "overload", "share", "title", "room"}
 
 func (r Reason) String() string { return reasonNames[r] }
 
@@ -108,7 +121,9 @@
 	Reason   Reason
 	RetryMs  float64 // advice, where it is refused
 	Repeated bool    // the wish was refused before
-	Loan     bool    // it was let through beyond its brand's own part, or as a repeated try
+	Loan     bool    // it was let through beyond its brand's own part
+	Top      int     // highest rung that the session may have
+	Spare    float64 // share of a box's room that must stay free beside it
 }
 
 // rate is a count a second that forgets.
@@ -117,8 +132,8 @@
 func (r *rate) add(n float64)   { r.perMs += n / rateTauMs }
 func (r *rate) fade(ms float64) { r.perMs *= math.Exp(-ms / rateTauMs) }
 
-// room is what is known of one title's room: it is short while the module refuses it.
-type room struct {
+// want is what is known of one title's demand: it is short of room while the module refuses it.
+type want struct {
 	placed, firsts rate
 	tried, noRoom  float64 // placements tried and refused in the last half second or so
 	at             float64 // when the figures were last faded
@@ -126,7 +141,7 @@
 }
 
 // pass lets the time up to now go by.
-func (r *room) pass(now float64) {
+func (r *want) pass(now float64) {
 	ms := now - r.at
 	if ms <= 0 {
 		return
@@ -147,18 +162,18 @@
 	started  bool
 	swept    float64
 	began    float64
-	rooms    map[uint64]*room // by title
-	hot      []*room          // those that are short of room
+	wants    map[uint64]*want // by title
+	hot      []*want          // those that are short of room
 	placed   float64          // placements a ms of these, and first tries
 	firsts   float64
 	tried    float64
 	noRoom   float64 // both of the last second or so: placements tried and refused
-	loan     float64 // placements a ms that are let through beyond the brands' own parts
-	aimed    float64 // when loans were last moved
-	hurt     bool    // a request within its share found no room in this slot
-	borrowed float64 // loans used in this slot
 	brands   []*brand
-	lent     float64 // loans that the brands they were meant for left to all
+	rooms    []Room // by cell: this director's part
+	whole    Room
+	holds    map[uint64]*hold // by session
+	fitted   float64          // when the brands' fits were last moved
+	moving   rate             // kB/s of sessions that begin to play, a ms
 	severity float64
 	returns  calendar
 	wishes   wishes
@@ -171,17 +186,21 @@
 	if len(cfg.Brands) == 0 {
 		cfg.Brands = []Brand{{Name: "all", Share: 1}}
 	}
-	if len(cfg.Values) == 0 {
-		cfg.Values = []float64{1}
+	if len(cfg.Classes) == 0 {
+		cfg.Classes = []Class{{Value: 1, Scale: 1}}
 	}
-	g := &Gate{cfg: cfg, rooms: map[uint64]*room{}, rng: rand.New(rand.NewPCG(seed, 0x6c696d69))}
+	if len(cfg.RateKB) == 0 {
+		cfg.RateKB, cfg.Worth = []float64{1}, []float64{1}
+	}
+	g := &Gate{cfg: cfg, wants: map[uint64]*want{}, holds: map[uint64]*hold{}, rng: rand.New(rand.NewPCG(seed, 0x6c696d69))}
 	g.SetBrands(cfg.Brands)
 	g.wishes.most = max(cfg.MaxWishes, 1)
-	g.ranks, g.steps = ranks(cfg.Values)
+	g.ranks, g.steps = ranks(cfg.Classes)
 	return g
 }
 
-// SetBrands changes the shares. What was used stays used.
+// SetBrands changes the shares. What is held stays held; what a brand holds that is no longer listed is the last
+// one's.
 func (g *Gate) SetBrands(list []Brand) {
 	total := 0.0
 	for _, b := range list {
@@ -195,7 +214,7 @@
 	for _, b := range list {
 		n := old[b.Name]
 		if n == nil {
-			n = &brand{titles: map[uint64]*title{}}
+			n = &brand{titles: map[uint64]*title{}, fit: 1, held: make([]Room, len(g.rooms))}
 		}
 		n.Brand = b
 		if total > 0 {
@@ -206,6 +225,7 @@
 		g.brands = append(g.brands, n)
 	}
 	g.cfg.Brands = list
+	g.recount()
 }
 
 // BrandNumber finds a brand; names that are not listed are the last one's.
@@ -221,12 +241,12 @@
 // Scarce tells whether shares count at present.
 func (g *Gate) Scarce() bool { return len(g.hot) > 0 }
 
-// room finds a title's figures, faded up to now.
-func (g *Gate) room(title uint64) *room {
-	r := g.rooms[title]
+// want finds a title's figures, faded up to now.
+func (g *Gate) want(title uint64) *want {
+	r := g.wants[title]
 	if r == nil {
-		r = &room{at: g.now}
-		g.rooms[title] = r
+		r = &want{at: g.now}
+		g.wants[title] = r
 	}
 	r.pass(g.now)
 	return r
@@ -247,24 +267,31 @@
 		case Ask:
 			out = append(out, g.ask(ev))
 		case NoRoom:
-			r := g.room(ev.Title)
+			r := g.want(ev.Title)
 			g.tried++
 			g.noRoom++
 			r.tried++
 			r.noRoom++
-			g.hurt = g.hurt || !ev.Loan
 			g.look(r)
 			repeated := g.wishes.known(ev.Wish, g.now, g.cfg.RememberMs)
 			if !repeated {
 				g.brand(ev.Brand).unmet(ev.Title, g.now)
 			}
-			out = append(out, g.refuse(ev, Room, repeated))
+			out = append(out, g.refuse(ev, NoBox, repeated))
+		case Begin:
+			g.begin(ev)
 		case Placed:
+			g.settle(ev)
 			g.tried++
-			r := g.room(ev.Title)
+			r := g.want(ev.Title)
 			r.tried++
 			r.placed.add(1)
 			g.wishes.forget(ev.Wish)
+		case Over:
+			g.drop(ev.ID)
+		case Rooms:
+			g.rooms = append(g.rooms[:0], ev.Room...)
+			g.recount()
 		case Load:
 			g.load(ev)
 		}
@@ -272,7 +299,7 @@
 	return out
 }
 
-// pass lets time go by: rates fade, buckets fill, what overflows is on offer to others.
+// pass lets time go by: rates fade.
 func (g *Gate) pass(now float64) {
 	if !g.started {
 		g.started, g.now, g.began = true, now, now
@@ -288,62 +315,35 @@
 	fade := math.Exp(-ms / (2 * slotMs))
 	g.tried *= fade
 	g.noRoom *= fade
-	g.aim()
-	whole := g.whole()
+	g.moving.fade(ms)
 	for _, b := range g.brands {
-		b.fill(ms, whole)
-		g.lent += b.borrow(ms, g.loan)
+		b.wants.fade(ms / wantsTaus)
+	}
+	if now-g.fitted >= slotMs {
+		g.fitted = now
+		for _, b := range g.brands {
+			b.refit(g.cfg.RateKB[0] / g.cfg.RateKB[len(g.cfg.RateKB)-1])
+		}
 	}
-	g.lent = math.Min(g.lent, math.Max(g.loan*slotMs, 1))
 	g.returns.pass(now)
 }
 
-// whole is the rate, a ms, that the brands' own parts add up to.
-func (g *Gate) whole() float64 { return math.Max(g.placing(), leastRate) }
-
-func (g *Gate) least() float64 { return math.Max(g.placing()*leastPart, leastRate) }
-
 // placing is the measured rate of placements a ms. A young measurement is scaled up by the time that it lacks.
 func (g *Gate) placing() float64 {
 	return g.placed / math.Max(1-math.Exp(-(g.now-g.began)/rateTauMs), 0.05)
 }
 
-// aim moves the loans: up while every request within a share finds room, down by half where one did not. So a
-// brand that comes back for its part has it within a few slots, whatever the others had borrowed.
-func (g *Gate) aim() {
-	if g.now-g.aimed < slotMs {
-		return
-	}
-	switch {
-	case g.hurt:
-		g.loan = math.Max(g.loan*loanDown, g.least())
-		g.lent = math.Min(g.lent, 1)
-	case g.borrowed >= usedPart*g.loan*(g.now-g.aimed):
-		g.loan = math.Min(g.loan*loanUp, math.Max(2*g.placing(), g.least()))
-	}
-	g.aimed, g.hurt, g.borrowed = g.now, false, 0
-}
-
 // look finds a title short of room. With the first one the shares begin to count.
-func (g *Gate) look(r *room) {
+func (g *Gate) look(r *want) {
 	if r.tried < leastTried || r.noRoom/r.tried < scarceFrom {
 		return
 	}
-	first := len(g.hot) == 0
 	if g.now >= r.until {
 		g.hot = append(g.hot, r)
 		g.placed += r.placed.perMs
 		g.firsts += r.firsts.perMs
 	}
 	r.until = g.now + scarceHold
-	if first { // the buckets begin with what their owners have not used
-		whole := g.whole()
-		for _, b := range g.brands {
-			b.start(whole)
-		}
-		g.loan = math.Max(g.placing()/2, g.least())
-		g.lent, g.aimed, g.hurt, g.borrowed = 1, g.now, false, 0
-	}
 }
 
 // rest lets go of titles that have room again, and forgets those that nobody asks for.
@@ -359,13 +359,13 @@
 		}
 	}
 	g.hot = kept
-	if g.now-g.swept < 4*depthMs {
+	if g.now-g.swept < 2*rateTauMs {
 		return
 	}
 	g.swept = g.now
-	for id, r := range g.rooms {
+	for id, r := range g.wants {
 		if g.now-r.at > 10*rateTauMs && g.now >= r.until {
-			delete(g.rooms, id)
+			delete(g.wants, id)
 		}
 	}
 }
@@ -380,51 +380,43 @@
 func (g *Gate) ask(ev *Event) Action {
 	b := g.brand(ev.Brand)
 	repeated := g.wishes.known(ev.Wish, g.now, g.cfg.RememberMs)
-	r := g.room(ev.Title)
+	r := g.want(ev.Title)
 	if !repeated {
 		r.firsts.add(1)
+		b.wants.add(1 / wantsTaus)
 	}
 	if g.cfg.PassAll {
-		return Action{ID: ev.ID, Repeated: repeated}
+		return Action{ID: ev.ID, Repeated: repeated, Top: ev.Top}
 	}
 	if g.sheds(ev.Class, repeated) {
 		return g.refuse(ev, Overload, repeated)
 	}
 	t := b.title(ev.Title, g.now)
-	if g.now >= r.until {
-		t.used++
-		return Action{ID: ev.ID, Repeated: repeated}
-	}
-	if b.starves(t, g.now) {
+	short := g.now < r.until
+	if short && b.starves(t, g.now) {
 		r.until = g.now + scarceHold
 		return g.refuse(ev, Title, repeated)
 	}
-	loan := false
-	switch {
-	case b.capped():
-	case !repeated && b.tokens >= 1, repeated && b.tokens >= 1+idlePart*b.depth(g.whole()):
-		b.spend(&b.tokens)
-		t.used++
-		return Action{ID: ev.ID, Repeated: repeated}
-	case b.loans >= 1:
-		b.spend(&b.loans)
-		loan = true
-	case g.lent >= 1:
-		b.spend(&g.lent)
-		loan = true
-	}
-	if !loan {
-		r.until = g.now + scarceHold
-		why := Repeat
+	a := Action{ID: ev.ID, Repeated: repeated, Top: g.top(b, ev)}
+	kb := g.kb(ev.Class, a.Top)
+	s, rates := g.stand(b, ev, kb)
+	if !repeated {
+		b.asked++
+	}
+	if s == beyond || s == lent && short { // where the module finds no room there is none to lend, whatever is booked
 		if !repeated {
-			why = Share
 			b.unmet(ev.Title, g.now)
+			if rates {
+				b.missed++
+			}
 		}
-		return g.refuse(ev, why, repeated)
+		return g.refuse(ev, Share, repeated)
 	}
-	g.borrowed++
 	t.used++
-	return Action{ID: ev.ID, Repeated: repeated, Loan: true}
+	if a.Loan = s == lent; a.Loan || repeated {
+		a.Spare = g.spare()
+	}
+	return a
 }
 
 // refuse remembers the wish and finds a time for its return.
@@ -461,7 +453,11 @@
 }
 
 // ranks numbers classes by worth, the least first; equal worth is equal rank.
-func ranks(values []float64) (rank []int, distinct int) {
+func ranks(classes []Class) (rank []int, distinct int) {
+	var values []float64
+	for _, k := range classes {
+		values = append(values, k.Value)
+	}
 	sorted := append([]float64(nil), values...)
 	sort.Float64s(sorted)
 	place := map[float64]int{}
--- a/internal/director/core.go
+++ b/internal/director/core.go
@@ -110,9 +110,11 @@
 		return false
 	}
 	a := d.gate.Step(d.l.Now(), []limits.Event{{Kind: limits.Ask, ID: uint64(o.waiter), Wish: o.claims.wish,
-		Title: o.title.number, Brand: o.claims.brandNo, Class: o.title.class}}, nil)[0]
-	o.claims.loan, o.claims.repeated = a.Loan, a.Repeated
+		Title: o.title.number, Brand: o.claims.brandNo, Class: o.title.class, Home: o.title.Home, Copies: o.title.Copies,
+		Top: o.claims.top}}, nil)[0]
+	o.claims.spare, o.claims.repeated = a.Spare, a.Repeated
 	if a.Reason == limits.Pass {
+		o.claims.top = a.Top
 		return true
 	}
 	d.stats.Shed++
@@ -122,9 +124,8 @@
 
 var sheds = map[limits.Reason]string{
 	limits.Overload: "this director has more to do than it can; nothing was set up",
-	limits.Share:    "the brand has used its share while others want theirs; nothing was set up",
+	limits.Share:    "the brand holds its share and others use theirs; nothing was set up",
 	limits.Title:    "other titles of the brand go first for the moment; nothing was set up",
-	limits.Repeat:   "first tries go first for the moment; nothing was set up",
 }
 
 // settle gives an order its one result.
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -69,6 +69,7 @@
 	fleet    *fleet.List
 	stop     *retire.Stop
 	gate     *limits.Gate
+	sizes    limits.Fleet
 	views    views
 	accounts limits.Accounts
 	check    *token.Checker
--- a/internal/director/limits.go
+++ b/internal/director/limits.go
@@ -13,14 +13,16 @@
 	c := &d.cfg.Gate
 	g := limits.Config{MinRetryMs: min(c.MinRetryMs, d.cfg.Attempts.MaxRetryAfterMs), MaxRetryMs: d.cfg.Attempts.MaxRetryAfterMs,
 		RememberMs: c.RememberMs, MaxWishes: c.Wishes, LagMs: c.LagMs, Queue: c.Queue, MemoryBytes: c.MemoryBytes, PassAll: c.PassAll,
-		Brands: brands(d.cfg)}
+		RateKB: d.cfg.Ladder.RateKB, Worth: d.cfg.Ladder.Worth, KnownMs: d.cfg.Fleet.TellMs/2 + d.cfg.Fleet.ToldLateMs, Brands: brands(d.cfg)}
 	if !d.cfg.Attempts.RetryAfter {
 		g.MaxRetryMs = 0
 	}
 	for i := range d.cfg.Classes {
-		g.Values = append(g.Values, d.cfg.Classes[i].Value)
+		k := &d.cfg.Classes[i]
+		g.Classes = append(g.Classes, limits.Class{Value: k.Value, Scale: k.Scale, Floor: k.Floor, Top: k.Top})
 	}
 	d.gate = limits.New(g, d.seed)
+	d.sizes = limits.Fleet{Cfg: d.cfg.Module()}
 	d.setCaps()
 	d.memory = []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
 }
@@ -54,6 +56,22 @@
 	}
 }
 
+// holds tells the gate that a session is being set up, holdsNone that it is over or was never begun.
+func (d *Director) holds(s *session) {
+	d.gate.Step(d.l.Now(), []limits.Event{{Kind: limits.Begin, ID: uint64(s.id), Brand: s.claims.brandNo,
+		Class: s.title.class, Home: s.title.Home, Copies: s.title.Copies, Top: s.claims.top}}, nil)
+}
+
+func (d *Director) holdsNone(s *session) {
+	d.gate.Step(d.l.Now(), []limits.Event{{Kind: limits.Over, ID: uint64(s.id)}}, nil)
+}
+
+// placed is the gate's news that a session plays, and in which cell.
+func (d *Director) placed(s *session) limits.Event {
+	return limits.Event{Kind: limits.Placed, ID: uint64(s.id), Wish: s.claims.wish, Title: s.title.number,
+		Brand: s.claims.brandNo, Class: s.title.class, Home: d.fleet.Cell(s.server)}
+}
+
 // Accounts returns the memory accounts. For the loop's goroutine.
 func (d *Director) Accounts() *limits.Accounts { return &d.accounts }
 
--- a/internal/director/list.go
+++ b/internal/director/list.go
@@ -6,6 +6,7 @@
 
 	"headmill"
 	"headmill/decide/fleet"
+	"headmill/decide/limits"
 	"headmill/internal/http1"
 	"headmill/internal/loop"
 )
@@ -131,6 +132,7 @@
 		c.tries = 0
 		d.stats.Lists++
 		d.toModule(ev)
+		d.gate.Step(d.l.Now(), []limits.Event{{Kind: limits.Rooms, Room: d.sizes.Rooms(d.fleet.Servers())}}, nil)
 	case fleet.Gap: // a stream begun anew opens with the whole list
 		d.log.Warn("box list has a gap; asking for the whole", "version", m.Version, "have", d.fleet.Version())
 		c.c.Close(loop.ErrIdle)
--- a/internal/director/path.go
+++ b/internal/director/path.go
@@ -46,10 +46,11 @@
 type claims struct {
 	raw, id, viewer, brand string
 	family                 string // of the player, as its token says
-	top                    int
+	top                    int    // highest rung: the viewer's, or as far as its brand's share goes
 	wish                   uint64
 	brandNo                int
-	loan, repeated         bool // as the gate said
+	spare                  float64 // as the gate said: room to be left free beside it
+	repeated               bool
 }
 
 // flush hands what has gathered to the decision modules until nothing is left. It runs at the end of each
@@ -143,7 +144,8 @@
 	d.accounts.Take(limits.Sessions, 1)
 	d.toModule(headmill.Event{Kind: headmill.EvRequest, Session: headmill.SessionID(s.id), Class: v.title.class,
 		Title: v.title.number, RemainingMs: left, HintMs: v.title.DurationMs, Home: v.title.Home,
-		Copies: v.title.Copies, TopRung: v.claims.top})
+		Copies: v.title.Copies, TopRung: v.claims.top, Spare: v.claims.spare})
+	d.holds(s)
 }
 
 // fromModule carries out what the module says; every kind of action is here.
@@ -168,6 +170,7 @@
 	case headmill.ActRefuse:
 		if s != nil {
 			d.ledgerIn = append(d.ledgerIn, once.Event{Kind: once.Refused, Session: s.id, RetryMs: d.advice(s, a.RetryMs)})
+			d.holdsNone(s)
 		}
 	case headmill.ActFail:
 		if s != nil {
@@ -176,6 +179,7 @@
 				why = once.ReasonTime
 			}
 			d.ledgerIn = append(d.ledgerIn, once.Event{Kind: once.Failed, Session: s.id, Why: why})
+			d.holdsNone(s)
 		}
 	case headmill.ActTimer:
 		name := a.Timer
@@ -222,6 +226,7 @@
 		return
 	}
 	s.state = finished
+	d.holdsNone(s)
 	d.toModule(headmill.Event{Kind: headmill.EvSettled, Session: headmill.SessionID(s.id), Server: s.server,
 		Outcome: o, Finished: true, TookMs: d.l.Now() - s.asked, Report: report(load)})
 	d.watchIn = append(d.watchIn, boxes.Event{Kind: boxes.Gone, Box: boxes.Box(s.server), Session: boxes.Session(s.id)})
@@ -252,6 +257,8 @@
 func (d *Director) adopt(s *session) {
 	now := d.l.Now()
 	s.state, s.played = plays, now
+	d.holds(s)
+	d.gate.Step(now, []limits.Event{d.placed(s)}, nil)
 	k := headmill.SessionID(s.id)
 	d.toModule(headmill.Event{Kind: headmill.EvExisting, Session: k, Server: s.server, Class: s.title.class,
 		Title: s.title.number, Home: s.title.Home, Copies: s.title.Copies, TopRung: s.claims.top,
@@ -268,6 +275,7 @@
 		d.endAtBox(s)
 	}
 	delete(d.sessions, s.id)
+	d.holdsNone(s)
 	d.accounts.Give(limits.Sessions, 1)
 	d.accounts.Give(limits.Reports, int64(len(s.report)))
 }
@@ -276,7 +284,7 @@
 // module gave none and neither does this.
 func (d *Director) advice(s *session, module float64) float64 {
 	a := d.gate.Step(d.l.Now(), []limits.Event{{Kind: limits.NoRoom, ID: uint64(s.id), Wish: s.claims.wish,
-		Title: s.title.number, Brand: s.claims.brandNo, Class: s.title.class, Loan: s.claims.loan}}, nil)
+		Title: s.title.number, Brand: s.claims.brandNo, Class: s.title.class}}, nil)
 	if module <= 0 {
 		return 0
 	}
--- a/internal/director/setup.go
+++ b/internal/director/setup.go
@@ -181,8 +181,7 @@
 		}
 		d.watchIn = append(d.watchIn, boxes.Event{Kind: boxes.Placed, Box: boxes.Box(t.b.id), Session: boxes.Session(s.id)})
 		d.ledgerIn = append(d.ledgerIn, once.Event{Kind: once.Plays, Session: s.id})
-		d.gate.Step(now, []limits.Event{{Kind: limits.Placed, Wish: s.claims.wish, Title: s.title.number,
-			Brand: s.claims.brandNo, Class: s.title.class, Loan: s.claims.loan}}, nil)
+		d.gate.Step(now, []limits.Event{d.placed(s)}, nil)
 		if s.rung != t.rung {
 			d.tellRung(s)
 		}
--- a/internal/standin/rehearse/rehearse.go
+++ b/internal/standin/rehearse/rehearse.go
@@ -56,6 +56,12 @@
 	spec.Base.Attempts.MaxRetryAfterMs = s.AdviceS * 1000
 	spec.Base.Gate.PassAll = s.Gate == "off"
 	spec.Base.Brands = []config.Brand{{Name: brands[0], Share: 0.7}, {Name: brands[1], Share: 0.3}}
+	if s.Room > 0 {
+		f, b := &spec.Base.Fleet, &spec.Box
+		f.AllLinksKB, f.UplinkKB, b.LinkKB, b.UplinkKB = f.AllLinksKB*s.Room, f.UplinkKB*s.Room, b.LinkKB*s.Room, b.UplinkKB*s.Room
+		b.Places = int(math.Round(float64(b.Places) * s.Room))
+		f.Places = []int{b.Places}
+	}
 	if r.Edit != nil {
 		r.Edit(&spec)
 	}
@@ -306,7 +312,9 @@
 		if r.draws.Float64() < 0.3 {
 			brand = 1
 		}
-		r.viewer(r.draws, nil, brand)
+		if s := r.Script.Only; s == "" || s == brands[brand] {
+			r.viewer(r.draws, nil, brand)
+		}
 	}
 }
 
--- a/internal/standin/rehearse/script.go
+++ b/internal/standin/rehearse/script.go
@@ -26,6 +26,8 @@
 	Socket    float64   `toml:"socket"`   // share of viewers that come over the session API
 	AdviceS   float64   `toml:"advice_s"` // the longest advice that a refusal may give
 	Gate      string    `toml:"gate"`     // "off": the limits pass all, for comparison
+	Room      float64   `toml:"room"`     // part of their links, uplinks and places that the boxes have; 0: all
+	Only      string    `toml:"only"`     // viewers of other brands stay away
 	Troubles  []Trouble `toml:"trouble"`
 }
 
