Segments that real decoders play: a test card in H.264, a page, a test in Chromium

Cause: dash.js in Chromium fetched everything from headmill up with status 200 and failed to decode; the stand-in's samples were no video.

internal/standin/box/card.go writes SPS, PPS, an IDR picture and skipped P pictures, ten a second, with filler up to the rate's bytes. The card shows the rung in large digits. I_PCM alone takes 92 kB for 320x180 where the rung gives 4 to 6 kB a segment, so a macroblock is copied from a neighbour of its colour and I_PCM where there is none. The last segment is as long as what is left, and a box keeps a session until its last segment was asked for: without either dash.js waited for ever at 7.3 of 7.8 s. headmill up serves a page; dash.js 5.2.1 comes from npm.

--- a/cmd/headmill/up.go
+++ b/cmd/headmill/up.go
@@ -19,6 +19,8 @@
 	JSON      bool   `help:"Print one line of JSON when all is ready."`
 	Directors int    `default:"2" help:"Directors."`
 	Boxes     int    `default:"6" help:"Boxes."`
+	ClipS     float64 `help:"Length of the shorter clips, s." default:"60"`
+	Dashjs    string `help:"dash.js for the page." default:"test/browser/node_modules/dashjs/dist/modern/umd/dash.all.min.js" placeholder:"FILE"`
 	State     string `help:"Folder for settings, keys and logs; a new one under the temporary folder otherwise."`
 }
 
@@ -38,7 +40,7 @@
 	if err != nil {
 		return err
 	}
-	spec := stage.Small(c.Directors, c.Boxes, 6, 60000)
+	spec := stage.Small(c.Directors, c.Boxes, 6, c.ClipS*1000)
 	spec.Exe, spec.Dir = exe, dir
 	spec.ListAddMs, spec.Box.IdleMs = 0, 30000
 	st, err := stage.New(spec)
@@ -55,10 +57,12 @@
 		Titles    []upTitle `json:"titles"`
 		Manifests []string  `json:"manifests"`
 		State     string    `json:"state"`
+		Page      string    `json:"page"`
+		Pids      []int     `json:"director_pids"`
 	}
 	out.State = dir
 	for _, m := range st.Directors {
-		out.Directors = append(out.Directors, m.URL)
+		out.Directors, out.Pids = append(out.Directors, m.URL), append(out.Pids, m.Proc.Pid())
 	}
 	for _, m := range st.Boxes {
 		out.Boxes = append(out.Boxes, "http://"+m.Proc.Addr)
@@ -75,6 +79,12 @@
 		out.Titles = append(out.Titles, upTitle{t.Name, t.Class})
 		out.Manifests = append(out.Manifests, st.Directors[home(st, claims.ID)].URL+"/dash/"+t.Name+"/manifest.mpd?token="+raw)
 	}
+	_, scriptErr := os.Stat(c.Dashjs)
+	addr, err := stage.Page(c.Dashjs, &out)
+	if err != nil {
+		return err
+	}
+	out.Page = "http://" + addr + "/"
 	if c.JSON {
 		line, _ := json.Marshal(out)
 		fmt.Println(string(line))
@@ -93,6 +103,9 @@
 			tokens[1])
 		fmt.Printf("\nfurther tokens:\n  headmill token mint --keys %s --title %s --class %s\n",
 			filepath.Join(dir, "keys-private.json"), out.Titles[1].Title, out.Titles[1].Class)
+		if fmt.Printf("\na page that plays it in dash.js: %s\n", out.Page); scriptErr != nil {
+			fmt.Println("  dash.js is not there yet; this gets it: npm ci --prefix test/browser")
+		}
 		fmt.Println("\nrunning until a signal (Ctrl-C)")
 	}
 	<-stop
--- a/internal/dash/mpd.go
+++ b/internal/dash/mpd.go
@@ -43,7 +43,7 @@
 	b = append(b, "\">\n  <BaseURL>"...)
 	b = appendText(b, m.Base)
 	b = append(b, "</BaseURL>\n  <Period id=\"0\" start=\"PT0S\">\n    <AdaptationSet id=\"1\" contentType=\"video\""+
-		" mimeType=\"video/mp4\" codecs=\"avc1.42c01e\" segmentAlignment=\"true\" startWithSAP=\"1\">\n"...)
+		" mimeType=\"video/mp4\" codecs=\"avc1.42c01f\" segmentAlignment=\"true\" startWithSAP=\"1\">\n"...)
 	if m.Token != "" {
 		b = append(b, `      <SupplementalProperty schemeIdUri="urn:mpeg:dash:urlparam:2014">`+
 			"\n        <up:UrlQueryInfo queryTemplate=\"token="...)
--- a/internal/standin/box/box.go
+++ b/internal/standin/box/box.go
@@ -70,6 +70,7 @@
 	rung                              int
 	began, seen                       time.Time
 	duration                          time.Duration
+	last                              bool // its last segment was asked for
 }
 
 // handed is one report that waits for its batch.
@@ -469,8 +470,9 @@
 			why := ""
 			gone, out := b.left[s.director]
 			switch {
-			case now.Sub(s.began) > s.duration:
-				why = "done"
+			case now.Sub(s.began) > s.duration && (s.last && ms(now.Sub(s.seen)) > float64(b.cfg.SegmentMs) ||
+				ms(now.Sub(s.began)-s.duration) > 3*float64(b.cfg.SegmentMs)):
+				why = "done" // a player begins late by its start-up and may still want the end, or want it again
 			case b.cfg.IdleMs > 0 && ms(now.Sub(s.seen)) > b.cfg.IdleMs:
 				why = "idle"
 			case out && ms(now.Sub(gone)) > b.cfg.OrphanMs:
@@ -599,11 +601,19 @@
 		body = initSegment(uint16(320*(rung+1)), uint16(180*(rung+1)))
 	default:
 		n, err := strconv.Atoi(strings.TrimSuffix(file, ".m4s"))
-		if last := int(math.Ceil(ms(s.duration) / float64(b.cfg.SegmentMs))); err != nil || n < 1 || n > last {
+		last := int(math.Ceil(ms(s.duration) / float64(b.cfg.SegmentMs)))
+		if err != nil || n < 1 || n > last {
 			problem(w, 404, "no such segment", false)
 			return
 		}
-		body = mediaSegment(n, b.cfg.SegmentMs, int(b.cfg.RateKB[rung]*scale*float64(b.cfg.SegmentMs)))
+		if n == last {
+			b.mu.Lock()
+			s.last = true
+			b.mu.Unlock()
+		}
+		begin, whole := (n-1)*b.cfg.SegmentMs, b.cfg.SegmentMs
+		length := min(whole, int(s.duration.Milliseconds())-begin) // a player waits for the end where the last one is longer
+		body = mediaSegment(n, begin, length, int(b.cfg.RateKB[rung]*scale*float64(length)), 320*(rung+1), 180*(rung+1), rung)
 	}
 	// The link is shared: a session gets its part of the rung in force, with a little over where nothing is short.
 	pace := kbps * share
--- a/internal/standin/box/cmaf.go
+++ b/internal/standin/box/cmaf.go
@@ -3,7 +3,7 @@
 import "encoding/binary"
 
 // The few boxes of ISO/IEC 14496-12 and CMAF (ISO/IEC 23000-19) that a player's parser needs: an
-// initialization segment with one AVC track, and media segments of one sample each.
+// initialization segment with one AVC track, and media segments of one fragment each. The samples are in card.go.
 
 func mp4(kind string, parts ...[]byte) []byte {
 	n := 8
@@ -45,7 +45,9 @@
 
 // initSegment is ftyp and moov with timescale 1000.
 func initSegment(width, height uint16) []byte {
-	avcC := mp4("avcC", []byte{1, 0x42, 0xc0, 0x1e, 0xff, 0xe1, 0, 4, 0x67, 0x42, 0xc0, 0x1e, 1, 0, 2, 0x68, 0xce})
+	seq, pic := sps(int(width), int(height)), pps()
+	avcC := mp4("avcC", []byte{1, avcProfile, avcCompat, avcLevel, 0xff, 0xe1}, u16(uint16(len(seq))), seq,
+		[]byte{1}, u16(uint16(len(pic))), pic)
 	avc1 := mp4("avc1", make([]byte, 6), u16(1), make([]byte, 16), u16(width, height),
 		u32(0x480000, 0x480000, 0), u16(1), make([]byte, 32), u16(0x18, 0xffff), avcC)
 	stbl := mp4("stbl", full("stsd", 0, 0, u32(1), avc1), full("stts", 0, 0, u32(0)), full("stsc", 0, 0, u32(0)),
@@ -60,21 +62,25 @@
 	return append(mp4("ftyp", []byte("cmf2"), u32(0), []byte("isomiso6cmfcavc1")), moov...)
 }
 
-// mediaSegment is styp, moof and mdat; size is the number of bytes in all.
-func mediaSegment(number, durationMs, size int) []byte {
+// mediaSegment is styp, moof and mdat; size is the number of bytes in all, as far as its pictures are not more.
+func mediaSegment(number, beginMs, durationMs, size, width, height, rung int) []byte {
+	count := max(durationMs*cardFPS/1000, 1)
 	styp := mp4("styp", []byte("msdh"), u32(0), []byte("msdhcmfs"))
-	moof := func(dataOffset uint32, bytes uint32) []byte {
-		tfdt := full("tfdt", 1, 0, binary.BigEndian.AppendUint64(nil, uint64(number-1)*uint64(durationMs)))
-		trun := full("trun", 0, 0x701, u32(1, dataOffset, uint32(durationMs), bytes, 0x02000000))
-		return mp4("moof", full("mfhd", 0, 0, u32(uint32(number))),
-			mp4("traf", full("tfhd", 0, 0x20000, u32(1)), tfdt, trun))
+	moof := func(dataOffset uint32, list [][]byte) []byte {
+		tfdt := full("tfdt", 1, 0, binary.BigEndian.AppendUint64(nil, uint64(beginMs)))
+		tfhd := full("tfhd", 0, 0x20028, u32(1, uint32(durationMs/count), 0x01010000)) // duration and flags of all but the first
+		run := u32(uint32(count), dataOffset, 0x02000000)
+		for i := range count {
+			n := 0
+			if list != nil {
+				n = len(list[i])
+			}
+			run = append(run, u32(uint32(n))...)
+		}
+		return mp4("moof", full("mfhd", 0, 0, u32(uint32(number))), mp4("traf", tfhd, tfdt, full("trun", 0, 0x205, run)))
 	}
-	head := len(moof(0, 0))
-	payload := max(size-len(styp)-head-8, 4)
-	b := append(styp, moof(uint32(head+8), uint32(payload))...)
-	data := make([]byte, payload)
-	for i := range data {
-		data[i] = byte(i*7 + number)
-	}
-	return append(b, mp4("mdat", data)...)
+	head := len(moof(0, nil))
+	list := samples(width, height, rung, number, count, size-len(styp)-head-8)
+	b := append(styp, moof(uint32(head+8), list)...)
+	return append(b, mp4("mdat", list...)...)
 }
