Ended connections linger, so that 413, 431 and 1009 arrive; the spare is not made room for

Cause: a message far over the limit was answered and the socket closed with bytes unread; the kernel resets, and the peer saw 1006 in place of 1009, or no 413. The loop now shuts its writing side and reads and drops for 2 s, 1 MiB and 1,024 connections at most (RFC 9112 9.6, RFC 6455 7.1.1). Without it the three new tests see resets.

--- a/controller.go
+++ b/controller.go
@@ -622,15 +622,16 @@
 }
 
 // makeRoom lowers own sessions that earn less for their last kB than the newcomer would, at the first
-// holder, by load, where that is enough. It acts only when no holder admits the newcomer at that rung.
+// holder, by load, where that is enough. It acts only when no holder admits the newcomer at that rung. Room that
+// must stay free is not made: nobody's rung goes down for it.
 func (c *Controller) makeRoom(s *session, holders []*server, rung int, kb float64) *server {
 	sort.SliceStable(holders, func(i, j int) bool { return c.load(holders[i]) < c.load(holders[j]) })
 	for _, v := range holders {
 		if !c.hasPlace(s, v) {
 			continue
 		}
-		link := kb - (mark-s.spare-c.linkLoad(v))*v.link.cap
-		up := kb - (mark-s.spare-c.rackLoad(v.rack))*v.rack.up.cap
+		link := kb - (mark-c.linkLoad(v))*v.link.cap
+		up := kb - (mark-c.rackLoad(v.rack))*v.rack.up.cap
 		c.pool = append(c.pool[:0], v.sessions...)
 		if up > link {
 			for _, o := range v.rack.servers {
--- a/decide/limits/held.go
+++ b/decide/limits/held.go
@@ -252,5 +252,5 @@
 	if g.whole.KB <= 0 {
 		return 0
 	}
-	return math.Min(g.moving.perMs*g.cfg.KnownMs/g.whole.KB, mostSpare)
+	return math.Min(g.moving.perMs*g.cfg.KnownMs/g.whole.KB*g.cfg.Others, mostSpare)
 }
--- a/decide/limits/limits.go
+++ b/decide/limits/limits.go
@@ -67,6 +67,7 @@
 	Queue       float64   // waiting events that count as full load
 	MemoryBytes float64   // memory that counts as full load; 0: not looked at
 	KnownMs     float64   // until what others send to a box is known here: as long room must last
+	Others      float64   // part of what is placed that other directors place: only that is not known at once
 	PassAll     bool      // decide nothing, for comparison
 }
 
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -461,6 +461,25 @@
 	}
 }
 
+// A viewer in the middle of a long body or head reads the answer that says so, not a reset.
+func TestTooLongIsAnswered(t *testing.T) {
+	r := newRig(t, 1, nil)
+	long := strings.Repeat("x", 600<<10)
+	for text, status := range map[string]string{"Content-Length: 614400\r\n\r\n": "413", "X-Long: ": "431"} {
+		c, err := net.Dial("tcp4", r.d.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		go fmt.Fprintf(c, "POST /x HTTP/1.1\r\nHost: x\r\n%s%s\r\n\r\n", text, long)
+		c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		b, err := io.ReadAll(c)
+		c.Close()
+		if !strings.HasPrefix(string(b), "HTTP/1.1 "+status+" ") || err != nil {
+			t.Errorf("%q: %.100q, %v", text, b, err)
+		}
+	}
+}
+
 // A drain is told while set-ups wait: nothing new goes there, what plays goes on.
 func TestDrain(t *testing.T) {
 	r := newRig(t, 2, nil)
--- a/internal/director/limits.go
+++ b/internal/director/limits.go
@@ -13,7 +13,8 @@
 	c := &d.cfg.Gate
 	g := limits.Config{MinRetryMs: min(c.MinRetryMs, d.cfg.Attempts.MaxRetryAfterMs), MaxRetryMs: d.cfg.Attempts.MaxRetryAfterMs,
 		RememberMs: c.RememberMs, MaxWishes: c.Wishes, LagMs: c.LagMs, Queue: c.Queue, MemoryBytes: c.MemoryBytes, PassAll: c.PassAll,
-		RateKB: d.cfg.Ladder.RateKB, Worth: d.cfg.Ladder.Worth, KnownMs: d.cfg.Fleet.TellMs/2 + d.cfg.Fleet.ToldLateMs, Brands: brands(d.cfg)}
+		RateKB: d.cfg.Ladder.RateKB, Worth: d.cfg.Ladder.Worth, KnownMs: d.cfg.Fleet.TellMs/2 + d.cfg.Fleet.ToldLateMs,
+		Others: 1 - 1/float64(max(len(d.cfg.Director.Directors), 1)), Brands: brands(d.cfg)}
 	if !d.cfg.Attempts.RetryAfter {
 		g.MaxRetryMs = 0
 	}
--- a/internal/director/socket_test.go
+++ b/internal/director/socket_test.go
@@ -446,6 +446,7 @@
 		"text on the binary subprotocol": {websocket.MessageText, "{}", websocket.StatusUnsupportedData},
 		"not a message":                  {websocket.MessageBinary, "\xff\xff", websocket.StatusInvalidFramePayloadData},
 		"too long":                       {websocket.MessageBinary, strings.Repeat("x", 2001), websocket.StatusMessageTooBig},
+		"far too long":                   {websocket.MessageBinary, strings.Repeat("x", 900<<10), websocket.StatusMessageTooBig},
 	} {
 		p := r.player(r.token("free", "a"))
 		if err := p.c.Write(p.ctx, c.kind, []byte(c.data)); err != nil {
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -171,13 +171,83 @@
 	return sent, nil
 }
 
-// End closes once all that waits has left.
+// End closes once all that waits has left. What the peer still sends is read and dropped for a bounded time after
+// that: a socket that is closed with bytes unread resets the connection, and the peer may lose the answer that said
+// why (RFC 9112 section 9.6; RFC 6455 section 7.1.1; nginx calls it a lingering close).
 func (c *Conn) End() {
 	if c.state == open && len(c.out) > 0 {
 		c.ending = true
 		return
 	}
-	c.Close(nil)
+	c.finish()
+}
+
+// finish closes the writing side and hands the descriptor to the loop's lingerers. For the owner the connection is
+// closed.
+func (c *Conn) finish() {
+	if c.state != open || len(c.l.lingers) >= lingerMost || unix.Shutdown(c.fd, unix.SHUT_WR) != nil {
+		c.Close(nil)
+		return
+	}
+	fd := c.fd
+	c.state, c.cause = closed, nil
+	if c.l.slots[fd] == c {
+		delete(c.l.slots, fd)
+	} else if c.l.ctl(unix.EPOLL_CTL_ADD, fd, 0) != nil { // ended by its owner before it was registered
+		unix.Close(fd)
+		fd = -1
+	}
+	c.fd = -1
+	if c.h != nil {
+		c.l.dead = append(c.l.dead, c)
+	}
+	if fd >= 0 {
+		c.l.linger(fd)
+	}
+}
+
+// linger is one closed connection whose peer may still send.
+type linger struct {
+	timer *Timer
+	left  int // bytes that are dropped at most
+}
+
+func (l *Loop) linger(fd int) {
+	g := &linger{left: lingerBytes}
+	g.timer = l.After(lingerMs, func() { l.letGo(fd) })
+	l.lingers[fd] = g
+	if l.ctl(unix.EPOLL_CTL_MOD, fd, unix.EPOLLIN|unix.EPOLLRDHUP) != nil {
+		l.letGo(fd)
+	} // what is there is read in the next round: the owner may still be in the middle of the loop's buffer
+}
+
+// drop reads what a lingerer's peer sends, until its end.
+func (l *Loop) drop(fd int) {
+	g := l.lingers[fd]
+	for range readsMax {
+		n, err := unix.Read(fd, l.buf)
+		switch {
+		case err == unix.EINTR:
+			continue
+		case err == unix.EAGAIN:
+			return
+		case err != nil || n == 0:
+			l.letGo(fd)
+			return
+		}
+		if g.left -= n; g.left <= 0 {
+			l.letGo(fd)
+			return
+		}
+	}
+}
+
+func (l *Loop) letGo(fd int) {
+	if g := l.lingers[fd]; g != nil {
+		delete(l.lingers, fd)
+		l.Cancel(g.timer)
+		unix.Close(fd)
+	}
 }
 
 // Close ends the connection at once; Closed follows with err after the present round.
@@ -229,7 +299,7 @@
 		}
 		c.out = nil
 		if c.ending {
-			c.Close(nil)
+			c.finish()
 			return
 		}
 		c.want()
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -21,10 +21,13 @@
 )
 
 const (
-	readSize  = 64 << 10
-	waitBatch = 256
-	acceptMax = 64 // connections taken at one readiness, so that a rush of them does not starve the rest
-	readsMax  = 4  // reads of one connection at one readiness, for the same reason
+	readSize    = 64 << 10
+	waitBatch   = 256
+	acceptMax   = 64      // connections taken at one readiness, so that a rush of them does not starve the rest
+	lingerMs    = 2000    // for which a closed connection's peer is read from at most,
+	lingerBytes = 1 << 20 // how much is dropped at most,
+	lingerMost  = 1024    // and how many there are at most; further ones are closed at once
+	readsMax    = 4       // reads of one connection at one readiness, for the same reason
 )
 
 // ErrSlowReader is the cause of a cut where a peer let more wait than its bound.
@@ -47,6 +50,7 @@
 	lists    map[int]*Listener
 	buf      []byte
 	events   []unix.EpollEvent
+	lingers  map[int]*linger
 	dead     []*Conn // closed in this round: told after the round's events
 	worst    float64
 	round    func()
@@ -67,7 +71,7 @@
 		unix.Close(ep)
 		return nil, fmt.Errorf("loop: eventfd: %w", err)
 	}
-	l := &Loop{ep: ep, wake: wake, start: time.Now(), slots: map[int]*Conn{}, lists: map[int]*Listener{},
+	l := &Loop{ep: ep, wake: wake, start: time.Now(), slots: map[int]*Conn{}, lists: map[int]*Listener{}, lingers: map[int]*linger{},
 		buf: make([]byte, readSize), events: make([]unix.EpollEvent, waitBatch)}
 	if err := l.ctl(unix.EPOLL_CTL_ADD, wake, unix.EPOLLIN); err != nil {
 		return nil, err
@@ -225,6 +229,8 @@
 		l.lists[fd].accept()
 	case l.slots[fd] != nil:
 		l.slots[fd].ready(events)
+	case l.lingers[fd] != nil:
+		l.drop(fd)
 	}
 }
 
@@ -248,6 +254,9 @@
 		c.Close(ErrStopped)
 	}
 	l.bury()
+	for fd := range l.lingers {
+		l.letGo(fd)
+	}
 	unix.Close(l.wake)
 	unix.Close(l.ep)
 }
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -111,6 +111,58 @@
 	}
 }
 
+// judgeAndEnd answers the first bytes and ends the connection, as a server does that has seen enough.
+type judgeAndEnd struct{ echo }
+
+func (e *judgeAndEnd) Data(c *Conn, _ []byte) {
+	c.Write([]byte("too long"))
+	c.End()
+}
+
+// A peer that is in the middle of a long message reads the answer and an orderly end, not a reset; one that never
+// ends is let go, and so is one of too many.
+func TestLingeringClose(t *testing.T) {
+	e := &judgeAndEnd{}
+	l, addr := serve(t, func(*Conn) Handler { return e })
+	for _, size := range []int{1, 100 << 10, 900 << 10} {
+		c, err := net.Dial("tcp4", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		wrote := make(chan error, 1)
+		go func() { _, err := c.Write(make([]byte, size)); wrote <- err }()
+		c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		if err := <-wrote; err != nil {
+			t.Errorf("%d bytes: %v", size, err)
+		}
+		if b, err := io.ReadAll(c); string(b) != "too long" || err != nil {
+			t.Errorf("%d bytes: read %q, %v", size, b, err)
+		}
+		c.Close()
+	}
+	until(t, "the ends", func() bool { return len(e.ends()) == 3 })
+	lingering := func() int {
+		n := make(chan int)
+		l.Post(func() { n <- len(l.lingers) })
+		return <-n
+	}
+	until(t, "no lingerer of a peer that has closed", func() bool { return lingering() == 0 })
+	c, err := net.Dial("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	go func() { // writes until it is cut
+		for b := make([]byte, 1<<16); ; {
+			if _, err := c.Write(b); err != nil {
+				return
+			}
+		}
+	}()
+	until(t, "the lingerer", func() bool { return len(e.ends()) == 4 })
+	until(t, "it is let go of", func() bool { return lingering() == 0 })
+}
+
 func TestPauseHoldsBytesBack(t *testing.T) {
 	e := &echo{eat: true}
 	var conn *Conn
