--- a/api.go
+++ b/api.go
@@ -170,7 +170,7 @@
 	Home        int     // first cell that holds the title
 	Copies      int     // cells in a row that hold it
 	TopRung     int     // highest rung of this viewer
-	Spare       float64 // share of a link, an uplink and the places that must stay free beside it
+	Spare       float64 // share of a server's places that must stay free beside it
 	TookMs      float64
 	Outcome     Outcome
 	Finished    bool
--- a/controller.go
+++ b/controller.go
@@ -132,7 +132,7 @@
 	server              *server // of the attempt that is out or plays
 	rung, plan          int     // in force; what lower or raise means to set
 	playing, mayHaveRun bool
-	spare               float64 // share of each room that must stay free beside it
+	spare               float64 // share of a server's places that must stay free beside it
 	tries               int
 	tried               []ServerID
 	ranAt               float64 // of the first attempt that may have run
@@ -471,10 +471,11 @@
 
 // admits is the link-and-stream test: the rung's rate must fit under the mark on the link and the uplink.
 func (c *Controller) admits(s *session, v *server, kb float64) bool {
-	return c.linkLoad(v)+kb/v.link.cap <= mark-s.spare && c.rackLoad(v.rack)+kb/v.rack.up.cap <= mark-s.spare &&
-		c.hasPlace(s, v)
+	return c.linkLoad(v)+kb/v.link.cap <= mark && c.rackLoad(v.rack)+kb/v.rack.up.cap <= mark && c.hasPlace(s, v)
 }
 
+// hasPlace keeps places free beside a request that must leave some. Rates are not kept so: they are made room for
+// by rungs, and a rate that stands empty earns nothing.
 func (c *Controller) hasPlace(s *session, v *server) bool {
 	return c.now >= v.full && c.streams(v) < c.places(v)*(1-s.spare)
 }
@@ -622,8 +623,7 @@
 }
 
 // makeRoom lowers own sessions that earn less for their last kB than the newcomer would, at the first
-// holder, by load, where that is enough. It acts only when no holder admits the newcomer at that rung. Room that
-// must stay free is not made: nobody's rung goes down for it.
+// holder, by load, where that is enough. It acts only when no holder admits the newcomer at that rung.
 func (c *Controller) makeRoom(s *session, holders []*server, rung int, kb float64) *server {
 	sort.SliceStable(holders, func(i, j int) bool { return c.load(holders[i]) < c.load(holders[j]) })
 	for _, v := range holders {
