--- a/cmd/headmill/up.go
+++ b/cmd/headmill/up.go
@@ -16,12 +16,12 @@
 )
 
 type upCmd struct {
-	JSON      bool   `help:"Print one line of JSON when all is ready."`
-	Directors int    `default:"2" help:"Directors."`
-	Boxes     int    `default:"6" help:"Boxes."`
+	JSON      bool    `help:"Print one line of JSON when all is ready."`
+	Directors int     `default:"2" help:"Directors."`
+	Boxes     int     `default:"6" help:"Boxes."`
 	ClipS     float64 `help:"Length of the shorter clips, s." default:"60"`
-	Dashjs    string `help:"dash.js for the page." default:"test/browser/node_modules/dashjs/dist/modern/umd/dash.all.min.js" placeholder:"FILE"`
-	State     string `help:"Folder for settings, keys and logs; a new one under the temporary folder otherwise."`
+	Dashjs    string  `help:"dash.js for the page." default:"test/browser/node_modules/dashjs/dist/modern/umd/dash.all.min.js" placeholder:"FILE"`
+	State     string  `help:"Folder for settings, keys and logs; a new one under the temporary folder otherwise."`
 }
 
 type upTitle struct {
--- a/controller.go
+++ b/controller.go
@@ -471,11 +471,12 @@
 
 // admits is the link-and-stream test: the rung's rate must fit under the mark on the link and the uplink.
 func (c *Controller) admits(s *session, v *server, kb float64) bool {
-	return c.linkLoad(v)+kb/v.link.cap <= mark && c.rackLoad(v.rack)+kb/v.rack.up.cap <= mark && c.hasPlace(s, v)
+	return c.hasPlace(s, v) && c.linkLoad(v)+kb/v.link.cap <= mark &&
+		c.rackLoad(v.rack)+kb/v.rack.up.cap <= mark
 }
 
-// hasPlace keeps places free beside a request that must leave some. Rates are not kept so: they are made room for
-// by rungs, and a rate that stands empty earns nothing.
+// hasPlace keeps places free beside a request that must leave some. Rates are not kept so: rungs make room
+// for them, and a rate that stands empty earns nothing.
 func (c *Controller) hasPlace(s *session, v *server) bool {
 	return c.now >= v.full && c.streams(v) < c.places(v)*(1-s.spare)
 }
