History of quality in Parquet, headmill quality report with plots, reports by POST

Tests cause a half-written file, a file that is no Parquet, windows of two directors that don't begin together, a disk that takes nothing, a flood of posts. The squeezed rack's test reads the same rack back from the history.

--- a/cmd/headmill/main_test.go
+++ b/cmd/headmill/main_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"headmill/internal/bench"
+	"headmill/internal/config"
 	"headmill/internal/standin/rehearse"
 	"headmill/internal/standin/stage"
 )
@@ -430,6 +431,8 @@
 		sp.Box.UplinkKB = sp.Box.LinkKB * 1.5
 		sp.Base.Fleet.UplinkKB = sp.Box.UplinkKB
 		sp.Box.Mute = true
+		sp.Base.Quality.LateMs = 3000 // windows close while the day lasts
+		sp.Base.History = config.History{Dir: filepath.Join(dir, "history"), SegmentS: 1}
 		for i := range sp.Base.Titles { // three on each box, so that the same boxes have sessions on every run
 			sp.Base.Titles[i].Home, sp.Base.Titles[i].Copies = i%8, 1
 		}
@@ -470,6 +473,12 @@
 	if found == 0 {
 		t.Error("nobody found the squeezed rack")
 	}
+	plots := filepath.Join(dir, "q.svg") // the history tells the same afterwards
+	text, err := program(t, "quality", "report", "1h", "--dir", filepath.Join(dir, "history"), "--out", plots)
+	if st, serr := os.Stat(plots); err != nil || serr != nil || st.Size() < 1000 || !strings.Contains(text, "  rack 1\n") &&
+		!strings.Contains(text, "  box 127.0.0.1:") {
+		t.Errorf("report: %v, %v\n%s", err, serr, text)
+	}
 }
 
 // headmill quality adds up what the directors know.
--- a/cmd/headmill/quality.go
+++ b/cmd/headmill/quality.go
@@ -16,9 +16,70 @@
 
 	"headmill/decide/quality"
 	pb "headmill/internal/api/operatorv1"
+	"headmill/internal/history"
 )
 
 type qualityCmd struct {
+	Show   showCmd   `cmd:"" default:"withargs" help:"What directors know now: racks, boxes, titles, classes, brands, families, or one session."`
+	Report reportCmd `cmd:"" help:"Plots and a table of a time in the history."`
+}
+
+type reportCmd struct {
+	From string `arg:"" help:"Beginning: RFC 3339, or so long ago (30m)."`
+	To   string `arg:"" optional:"" default:"0s" help:"End, likewise; now otherwise."`
+	Dir  string `required:"" help:"The history (history.dir); of several directors, one after the other merged, all in one folder."`
+	Out  string `default:"quality.svg" help:"File for the plots, .svg or .png."`
+}
+
+// moment reads a time, or how long before now.
+func moment(text string, now time.Time) (time.Time, error) {
+	if ago, err := time.ParseDuration(text); err == nil {
+		return now.Add(-ago), nil
+	}
+	t, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		return t, fmt.Errorf("%q is neither a time as 2026-01-31T03:00:00Z nor a length as 30m", text)
+	}
+	return t, nil
+}
+
+// Run reads the history and draws.
+func (c *reportCmd) Run() error {
+	now := time.Now()
+	from, err := moment(c.From, now)
+	if err != nil {
+		return err
+	}
+	to, err := moment(c.To, now)
+	if err != nil {
+		return err
+	}
+	rows, bad, err := history.Read(c.Dir, from.UnixMilli(), to.UnixMilli())
+	if err != nil {
+		return err
+	}
+	for _, err := range bad {
+		fmt.Fprintln(os.Stderr, "headmill: passed over:", err)
+	}
+	sum, err := history.Summarize(rows)
+	if err != nil {
+		return err
+	}
+	if err := sum.Draw(c.Out); err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(os.Stdout, 2, 8, 2, ' ', 0)
+	fmt.Fprintf(w, "worth lost\tcause\n")
+	for _, s := range sum.Causes {
+		fmt.Fprintf(w, "%.1f\t%s\n", s.Lost, s.Cause)
+	}
+	w.Flush()
+	fmt.Printf("%d reports, start-up p50 %.0f ms, p95 %.0f ms, %.2f%% of the reports with a stall; plots in %s\n", sum.Whole.Reports,
+		sum.Whole.StartUp(0.5), sum.Whole.StartUp(0.95), 100*float64(sum.Whole.Stalled)/math.Max(float64(sum.Whole.Reports), 1), c.Out)
+	return nil
+}
+
+type showCmd struct {
 	What  string        `arg:"" enum:"racks,boxes,titles,classes,brands,families,session" help:"racks, boxes, titles, classes, brands, families, or session."`
 	JTI   string        `arg:"" optional:"" help:"Of session: the token's jti."`
 	At    []string      `required:"" help:"Operators' API of each director (director.operator); their parts are added up."`
@@ -43,7 +104,7 @@
 }
 
 // Run asks every director and adds their parts up. A director that does not answer is named, and the rest shown.
-func (c *qualityCmd) Run() error {
+func (c *showCmd) Run() error {
 	var clients []pb.OperatorClient
 	for _, at := range c.At {
 		conn, err := grpc.NewClient(at, grpc.WithTransportCredentials(insecure.NewCredentials()))
@@ -69,7 +130,7 @@
 	}
 }
 
-func (c *qualityCmd) groups(clients []pb.OperatorClient) error {
+func (c *showCmd) groups(clients []pb.OperatorClient) error {
 	sum := map[string]*quality.Group{}
 	var findings []*pb.Finding
 	answered := 0
@@ -142,7 +203,7 @@
 	return math.Round(v*1000) / 1000
 }
 
-func (c *qualityCmd) session(clients []pb.OperatorClient) error {
+func (c *showCmd) session(clients []pb.OperatorClient) error {
 	if c.JTI == "" {
 		return errors.New("session needs the token's jti")
 	}
--- a/cmd/headmill/serve.go
+++ b/cmd/headmill/serve.go
@@ -12,6 +12,7 @@
 
 	"headmill/internal/config"
 	"headmill/internal/director"
+	"headmill/internal/history"
 	"headmill/internal/logfile"
 	"headmill/internal/loop"
 	"headmill/internal/standin/box"
@@ -77,6 +78,14 @@
 		return err
 	}
 	d.ListenFD, d.Done = c.ListenFD, l.Stop
+	if h := cfg.History; h.Dir != "" {
+		d.History, err = history.Open(history.Config{Dir: h.Dir, Director: cfg.Director.Name, SegmentMs: h.SegmentS * 1000,
+			MaxBytes: h.MaxBytes, MaxAgeMs: h.MaxAgeS * 1000}, log)
+		if err != nil {
+			return err
+		}
+		defer d.History.Close()
+	}
 	if err := d.Start(); err != nil {
 		return err
 	}
--- /dev/null
+++ b/decide/quality/cause_test.go
@@ -0,0 +1,61 @@
+package quality
+
+import (
+	"math"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestDrop(t *testing.T) {
+	list := []Segment{{"c", 3000, 10}, {"a", 1000, 10}, {"b", 2000, 10}}
+	for _, c := range []struct {
+		age  float64
+		size int64
+		want []string
+	}{{0, 0, nil}, {0, 30, nil}, {0, 29, []string{"a"}}, {0, 5, []string{"a", "b"}}, {2500, 0, []string{"a"}},
+		{500, 0, []string{"a", "b", "c"}}, {1800, 12, []string{"a", "b"}}} {
+		if got := Drop(list, 3600, c.age, c.size); !slices.Equal(got, c.want) {
+			t.Errorf("age %v, size %d: gives up %v, want %v", c.age, c.size, got, c.want)
+		}
+	}
+}
+
+// Causes add up to what was lost, whatever overlaps; a rack claims before its boxes.
+func TestCauses(t *testing.T) {
+	whole := map[float64]float64{0: 10, 5: 20, 10: 4}
+	losses := []Loss{{"rack", "1", 0, 5, 9}, {"box", "b", 0, 5, 8}, {"rack", "1", 5, 10, 12}, {"title", "t", 5, 10, 20}, {"rack", "1", 10, 15, 4}}
+	got := Causes(whole, losses, []Trouble{{"box", "b", 0, 5}, {"rack", "1", 2, 9}, {"title", "t", 6, 9}})
+	want := []Share{{"rack 1", 21}, {"title t", 8}, {"box b", 1}, {"no cause found", 4}}
+	if !slices.Equal(got, want) {
+		t.Errorf("%v, want %v", got, want)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		whole, all := map[float64]float64{}, 0.0
+		var losses []Loss
+		var troubles []Trouble
+		for i := range rapid.IntRange(0, 5).Draw(t, "windows") {
+			at := float64(i) * 5
+			whole[at] = float64(rapid.IntRange(0, 50).Draw(t, "lost"))
+			all += whole[at]
+			for _, d := range []string{"rack", "box", "title"} {
+				losses = append(losses, Loss{d, "x", at, at + 5, float64(rapid.IntRange(-5, 60).Draw(t, d))})
+			}
+		}
+		for range rapid.IntRange(0, 4).Draw(t, "troubles") {
+			from := float64(rapid.IntRange(0, 20).Draw(t, "from"))
+			troubles = append(troubles, Trouble{rapid.SampledFrom([]string{"rack", "box", "title"}).Draw(t, "dim"), "x", from, from + 7})
+		}
+		sum := 0.0
+		for _, s := range Causes(whole, losses, troubles) {
+			if s.Lost < 0 {
+				t.Fatalf("%s took %v", s.Cause, s.Lost)
+			}
+			sum += s.Lost
+		}
+		if math.Abs(sum-all) > 1e-9 {
+			t.Fatalf("causes add up to %v of %v", sum, all)
+		}
+	})
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -31,6 +31,7 @@
 	Attempts Attempts `toml:"attempts"`
 	Gate     Gate     `toml:"gate"`
 	Quality  Quality  `toml:"quality"`
+	History  History  `toml:"history"`
 	Brands   []Brand  `toml:"brand"`
 	Classes  []Class  `toml:"class"`
 	Titles   []Title  `toml:"title"`
@@ -79,6 +80,14 @@
 	Relieve     bool    `toml:"relieve"` // findings on racks and boxes are told to the module
 }
 
+// History says where closed windows are kept, and how many: see docs/operate/quality.md.
+type History struct {
+	Dir      string  `toml:"dir"` // relative to the settings file; empty: no history
+	SegmentS float64 `toml:"segment_s"`
+	MaxBytes int64   `toml:"max_bytes"` // of this director's segments
+	MaxAgeS  float64 `toml:"max_age_s"`
+}
+
 // Brand is one tenant's part.
 type Brand struct {
 	Name  string  `toml:"name"`
@@ -229,7 +238,8 @@
 			SocketOpens: 16, SocketHolds: 64, Sockets: 100000},
 		Quality: Quality{WindowMs: 5000, LateMs: 25000, SkewMs: 3600e3, KeepMs: 120000, LookMs: 500, ConfirmMs: 1500, Groups: 4096, SwitchCost: 1,
 			StallCost: 3, StartCost: 0.2, ShortUnder: 0.9, MinSessions: 6, MinScore: 8, Relieve: true},
-		Gate: Gate{MinRetryMs: 200, RememberMs: 30000, Wishes: 100000, LagMs: 100, Queue: 20000},
+		History: History{SegmentS: 60, MaxBytes: 256 << 20, MaxAgeS: 30 * 86400},
+		Gate:    Gate{MinRetryMs: 200, RememberMs: 30000, Wishes: 100000, LagMs: 100, Queue: 20000},
 		Times: Times{HeadMs: 5000, IdleMs: 60000, WriteMs: 10000, ConnectMs: 250, BoxIdleMs: 15000, LateMs: 10000,
 			HoldMs: 8000, BoxSilentMs: 3000, BoxLostMs: 4000, FinishMs: 6000, PlayMs: 10000, EndMs: 1000,
 			CommandMs: 2000, MarginMs: 25, PingMs: 20000, PongMs: 10000, TieMs: 15000, ReportMs: 5000, NoticeMs: 250},
@@ -265,6 +275,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if s.History.Dir != "" && !filepath.IsAbs(s.History.Dir) {
+		s.History.Dir = filepath.Join(filepath.Dir(path), s.History.Dir)
+	}
 	if s.Tokens.Keys != "" && !filepath.IsAbs(s.Tokens.Keys) {
 		s.Tokens.Keys = filepath.Join(filepath.Dir(path), s.Tokens.Keys)
 	}
@@ -480,6 +493,8 @@
 		{"quality.switch_cost", s.Quality.SwitchCost, 0}, {"quality.stall_cost", s.Quality.StallCost, 0},
 		{"quality.start_cost", s.Quality.StartCost, 0}, {"quality.short_under", s.Quality.ShortUnder, 0},
 		{"quality.min_sessions", float64(s.Quality.MinSessions), 2}, {"quality.min_score", s.Quality.MinScore, 0},
+		{"history.segment_s", s.History.SegmentS, 0.1}, {"history.max_bytes", float64(s.History.MaxBytes), 0},
+		{"history.max_age_s", s.History.MaxAgeS, 0},
 		{"ladder.segment_ms", s.Ladder.SegmentMs, 100}, {"ladder.switch_s", s.Ladder.SwitchS, 0},
 		{"fleet.cells", float64(s.Fleet.Cells), 1}, {"fleet.racks", float64(s.Fleet.Racks), 1},
 		{"fleet.link_unit_kb", s.Fleet.LinkUnitKB, 0}, {"fleet.all_links_kb", s.Fleet.AllLinksKB, 0},
--- a/internal/director/answer.go
+++ b/internal/director/answer.go
@@ -96,7 +96,7 @@
 // preflight answers a browser's CORS preflight: the Authorization field needs one (WHATWG Fetch 4.8).
 func (v *viewer) preflight() {
 	b := v.head(204)
-	b = append(b, "Access-Control-Allow-Methods: GET, OPTIONS\r\nAccess-Control-Allow-Headers: Authorization\r\n"+
+	b = append(b, "Access-Control-Allow-Methods: GET, POST, DELETE, OPTIONS\r\nAccess-Control-Allow-Headers: Authorization, Content-Type\r\n"+
 		"Access-Control-Max-Age: 600\r\n\r\n"...)
 	v.write(b)
 }
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -32,6 +32,7 @@
 	"headmill/decide/once"
 	"headmill/decide/retire"
 	"headmill/internal/config"
+	"headmill/internal/history"
 	"headmill/internal/http1"
 	"headmill/internal/loop"
 	"headmill/internal/token"
@@ -109,8 +110,9 @@
 	ending       int
 	asked        bool
 	hurry        bool
-	Done         func() // called once when the director has stopped
-	ListenFD     int    // a listening socket that was handed over; 0: open one
+	History      *history.Writer // of closed windows; nil: none. Its owner closes it after the loop has ended
+	Done         func()          // called once when the director has stopped
+	ListenFD     int             // a listening socket that was handed over; 0: open one
 	stats        Stats
 }
 
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -480,6 +480,46 @@
 	}
 }
 
+// Players' own reports: event mode of CMCD by POST, one list a line, paced by session.
+func TestReportsByPost(t *testing.T) {
+	r := newRig(t, 1, nil)
+	raw := r.token("free", "posts")
+	r.want("a session", r.get("free", raw), 200)
+	post := func(method, query, body string) int {
+		req, _ := http.NewRequest(method, "http://"+r.d.Addr()+"/cmcd"+query, strings.NewReader(body))
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	taken := func() int { return r.on(func() int { return int(r.d.stats.ReportsTaken) }) }
+	dropped := func() int { return r.on(func() int { return int(r.d.stats.ReportsDropped) }) }
+	if s := post("POST", "?token="+raw, "v=2,e=ps,sta=p,sn=1,mtp=400\nv=2,e=t,sn=2,br=abc\n\n"); s != 204 || taken() != 2 {
+		t.Errorf("two lists: %d, %d taken", s, taken())
+	}
+	if n := r.on(func() int { return int(r.d.views.bad["br"]) }); n != 1 {
+		t.Errorf("a bad key is counted %d times", n)
+	}
+	many := strings.Repeat("v=2,e=t,sn=3\n", 100) + strings.Repeat("x", 600)
+	if s := post("POST", "?token="+raw, many); s != 204 || taken() > 2+reportBurst || dropped() < 101-reportBurst {
+		t.Errorf("a flood: %d, %d taken, %d dropped", s, taken(), dropped())
+	}
+	for _, c := range []struct {
+		method, query string
+		status        int
+	}{{"GET", "?token=" + raw, 405}, {"POST", "?token=" + r.token("free", "nobody"), 404}, {"POST", "", 401}, {"POST", "?token=%zz", 400},
+		{"POST", "?token=" + raw[:len(raw)-2], 401}} {
+		if s := post(c.method, c.query, "v=2"); s != c.status {
+			t.Errorf("%s %.20s: %d, want %d", c.method, c.query, s, c.status)
+		}
+	}
+	if s := r.get("free", raw); s.status != 200 { // the same session, the connection in order
+		t.Errorf("afterwards %d", s.status)
+	}
+}
+
 // A drain is told while set-ups wait: nothing new goes there, what plays goes on.
 func TestDrain(t *testing.T) {
 	r := newRig(t, 2, nil)
--- a/internal/director/front.go
+++ b/internal/director/front.go
@@ -176,23 +176,73 @@
 		v.manifest(name, query, method == "DELETE")
 	case path == "/session":
 		v.upgrade(method)
+	case path == "/cmcd":
+		v.reports(method, query)
 	default:
 		v.problem(404, "no-such-page", "manifests are at /dash/TITLE/manifest.mpd", 0)
 	}
 }
 
-// manifest checks the token and places an order, or ends the session.
-func (v *viewer) manifest(name, query string, end bool) {
+// tokenOf finds the session token of a request; false where the request was answered for its query.
+func (v *viewer) tokenOf(query string) (string, bool) {
 	raw := bearer(v.p.Msg.Get("authorization"))
-	if raw == "" {
-		q, err := url.ParseQuery(query)
-		if err != nil {
-			v.problem(400, "malformed", "the query is not form-encoded", 0)
+	if raw != "" {
+		return raw, true
+	}
+	q, err := url.ParseQuery(query)
+	if err != nil {
+		v.problem(400, "malformed", "the query is not form-encoded", 0)
+		return "", false
+	}
+	if raw = q.Get("token"); raw == "" {
+		raw = q.Get("access_token") // RFC 6750 2.3
+	}
+	return raw, true
+}
+
+// reports takes a player's own reports: event mode of CMCD version 2 (CTA-5004-B), one list a line. The token says
+// whose they are; one that has expired still does, for as long as its session is known.
+func (v *viewer) reports(method, query string) {
+	if method != "POST" {
+		v.notAllowed()
+		return
+	}
+	raw, ok := v.tokenOf(query)
+	if !ok {
+		return
+	}
+	lines := strings.Split(string(v.p.Msg.Body), "\n")
+	v.withToken(raw, func(c *token.Claims) {
+		d := v.d
+		id, _, _ := d.ledger.Lookup(c.ID)
+		s := d.sessions[id]
+		if s == nil {
+			v.deny(&denial{404, "no-such-session", "no session of this token plays here"})
 			return
 		}
-		if raw = q.Get("token"); raw == "" {
-			raw = q.Get("access_token") // RFC 6750 2.3
+		s.meter.PerMs, s.meter.Burst = 1/d.cfg.Times.ReportMs, reportBurst
+		for _, line := range lines {
+			switch line = strings.TrimSpace(line); {
+			case line == "":
+			case len(line) > maxReport || !s.meter.Take(d.l.Now()) || !d.accounts.Room(limits.Reports, int64(len(line))):
+				d.stats.ReportsDropped++
+			default:
+				d.seen(s, line, 0, 0)
+				d.stats.ReportsTaken++
+			}
 		}
+		v.write(append(v.head(204), "\r\n"...))
+	})
+}
+
+// reportBurst is how many reports of one session may come at once: events come in bunches.
+const reportBurst = 16
+
+// manifest checks the token and places an order, or ends the session.
+func (v *viewer) manifest(name, query string, end bool) {
+	raw, ok := v.tokenOf(query)
+	if !ok {
+		return
 	}
 	v.withToken(raw, func(c *token.Claims) {
 		d := v.d
--- a/internal/director/path.go
+++ b/internal/director/path.go
@@ -38,8 +38,9 @@
 	deadline float64
 	played   float64
 	last     attempt.Outcome
-	holders  []*socket // connections that hold or watch it
-	report   string    // the player's last report
+	holders  []*socket    // connections that hold or watch it
+	report   string       // the player's last report
+	meter    limits.Meter // of reports that come by POST
 }
 
 // claims is the part of a token that a session keeps.
--- a/internal/director/quality.go
+++ b/internal/director/quality.go
@@ -11,6 +11,7 @@
 	"headmill/decide/limits"
 	"headmill/decide/quality"
 	"headmill/internal/cmcd"
+	"headmill/internal/history"
 )
 
 // views is what the director keeps for decide/quality: numbers of boxes and names of groups.
@@ -101,6 +102,33 @@
 	return best
 }
 
+// unix is a time of the loop as Unix time, ms.
+func (d *Director) unix(at float64) int64 { return d.wall().UnixMilli() - int64(d.l.Now()-at) }
+
+// keep hands a closed window to the history.
+func (d *Director) keep(w *quality.Window) {
+	if d.History == nil {
+		return
+	}
+	from, name := d.unix(w.From), d.cfg.Director.Name
+	to := from + int64(d.cfg.Quality.WindowMs)
+	rows := make([]history.Row, 0, len(w.Groups)+1)
+	rows = append(rows, history.Of(from, to, name, "whole", "", &w.Whole))
+	for k, g := range w.Groups {
+		rows = append(rows, history.Of(from, to, name, k.Dim.String(), d.views.names[k], g))
+	}
+	d.History.Put(rows)
+}
+
+// keepFinding hands a finding that began or ended to the history; one that began is kept at once, for a director
+// that does not live to see its end.
+func (d *Director) keepFinding(f quality.Finding) {
+	if d.History != nil {
+		d.History.Put([]history.Row{{FromMs: d.unix(f.Since), ToMs: max(d.unix(f.At), d.unix(f.Since)+1), Director: d.cfg.Director.Name,
+			Dim: f.Dim.String(), Name: d.views.names[f.Key], Finding: true, Evidence: f.String()}})
+	}
+}
+
 // batch takes the reports that a box hands on.
 func (d *Director) batchOf(b *box, data []byte) {
 	var list []struct {
@@ -131,10 +159,12 @@
 	in := d.views.in
 	for _, f := range d.views.q.Step(now, in) {
 		f := f
+		d.keepFinding(f)
 		d.log.Warn("quality: "+f.String(), "group", f.Dim.String(), "name", d.views.names[f.Key], "over", f.Over, "load", f.Load)
 	}
 	d.views.in = in[:0]
 	for _, w := range d.views.q.Closed() {
+		d.keep(w)
 		d.views.windows = append(d.views.windows, w)
 		if len(d.views.windows) > keepWindows {
 			d.views.windows = d.views.windows[1:]
