--- a/cmd/headmill/main.go
+++ b/cmd/headmill/main.go
@@ -17,6 +17,7 @@
 	Up       upCmd       `cmd:"" help:"Start a small fleet on loopback and stay until a signal."`
 	Rehearse rehearseCmd `cmd:"" help:"Play a bad day against real directors and judge the rules."`
 	Quality  qualityCmd  `cmd:"" help:"Show what viewers saw, by rack, box, title, class, brand or family, or one session's story."`
+	Trace    traceCmd    `cmd:"" help:"Tell one sampled session's story from files of traces."`
 	Bench    benchCmd    `cmd:"" help:"Measure one director at saturation, beside the same path on net/http."`
 	Plain    plainCmd    `cmd:"" hidden:"" help:"Run the net/http path (for bench)."`
 	Box      boxCmd      `cmd:"" hidden:"" help:"Run a stand-in box (for up and rehearse)."`
--- a/cmd/headmill/serve.go
+++ b/cmd/headmill/serve.go
@@ -17,6 +17,7 @@
 	"headmill/internal/loop"
 	"headmill/internal/standin/box"
 	"headmill/internal/token"
+	"headmill/internal/trace"
 )
 
 type serveCmd struct {
@@ -86,6 +87,12 @@
 		}
 		defer d.History.Close()
 	}
+	if cfg.Trace.File != "" {
+		if d.Trace, err = trace.Open(cfg.Trace.File, cfg.Director.Name, cfg.Trace.Part); err != nil {
+			return err
+		}
+		defer d.Trace.Close()
+	}
 	if err := d.Start(); err != nil {
 		return err
 	}
@@ -99,7 +106,16 @@
 		defer stop()
 		operator = addr
 	}
-	ready, _ := json.Marshal(map[string]string{"addr": d.Addr(), "agent": d.AgentAddr(), "operator": operator, "director": cfg.Director.Name})
+	metrics := ""
+	if cfg.Director.Metrics != "" {
+		addr, stop, err := d.ServeMetrics(cfg.Director.Metrics)
+		if err != nil {
+			return err
+		}
+		defer stop()
+		metrics = addr
+	}
+	ready, _ := json.Marshal(map[string]string{"addr": d.Addr(), "agent": d.AgentAddr(), "operator": operator, "metrics": metrics, "director": cfg.Director.Name})
 	fmt.Println(string(ready))
 	sigs := make(chan os.Signal, 4)
 	signal.Notify(sigs, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
--- a/decide/limits/held.go
+++ b/decide/limits/held.go
@@ -254,3 +254,16 @@
 	}
 	return math.Min(g.moving.perMs*g.cfg.KnownMs/g.whole.KB*g.cfg.Others, mostSpare)
 }
+
+// Held is the larger part that each brand holds of all the room, by name.
+func (g *Gate) Held() map[string]float64 {
+	out := make(map[string]float64, len(g.brands))
+	for _, b := range g.brands {
+		var sum Room
+		for _, r := range b.held {
+			sum.add(r, 1)
+		}
+		out[b.Name] = math.Max(sum.part(g.whole), 0)
+	}
+	return out
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,6 +32,7 @@
 	Gate     Gate     `toml:"gate"`
 	Quality  Quality  `toml:"quality"`
 	History  History  `toml:"history"`
+	Trace    Trace    `toml:"trace"`
 	Brands   []Brand  `toml:"brand"`
 	Classes  []Class  `toml:"class"`
 	Titles   []Title  `toml:"title"`
@@ -46,6 +47,7 @@
 	URLs       []string `toml:"urls"`      // where viewers reach each, in the order of directors
 	Agent      string   `toml:"agent"`     // IPv4:PORT for balancers' agent checks; empty: none
 	Operator   string   `toml:"operator"`  // IPv4:PORT of the operators' API (gRPC); empty: none
+	Metrics    string   `toml:"metrics"`   // IPv4:PORT of /metrics; empty: none
 	Zone       int      `toml:"zone"`
 	Seed       uint64   `toml:"seed"`        // 0: drawn at the start
 	FirstStart bool     `toml:"first_start"` // no earlier run took tokens: see operate/director.md
@@ -88,6 +90,12 @@
 	MaxAgeS  float64 `toml:"max_age_s"`
 }
 
+// Trace names the file of traces.
+type Trace struct {
+	File string  `toml:"file"` // relative to the settings file; empty: none
+	Part float64 `toml:"part"` // of the sessions, 0 to 1
+}
+
 // Brand is one tenant's part.
 type Brand struct {
 	Name  string  `toml:"name"`
@@ -238,6 +246,7 @@
 			SocketOpens: 16, SocketHolds: 64, Sockets: 100000},
 		Quality: Quality{WindowMs: 5000, LateMs: 25000, SkewMs: 3600e3, KeepMs: 120000, LookMs: 500, ConfirmMs: 1500, Groups: 4096, SwitchCost: 1,
 			StallCost: 3, StartCost: 0.2, ShortUnder: 0.9, MinSessions: 6, MinScore: 8, Relieve: true},
+		Trace:   Trace{Part: 0.01},
 		History: History{SegmentS: 60, MaxBytes: 256 << 20, MaxAgeS: 30 * 86400},
 		Gate:    Gate{MinRetryMs: 200, RememberMs: 30000, Wishes: 100000, LagMs: 100, Queue: 20000},
 		Times: Times{HeadMs: 5000, IdleMs: 60000, WriteMs: 10000, ConnectMs: 250, BoxIdleMs: 15000, LateMs: 10000,
@@ -275,6 +284,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if s.Trace.File != "" && !filepath.IsAbs(s.Trace.File) {
+		s.Trace.File = filepath.Join(filepath.Dir(path), s.Trace.File)
+	}
 	if s.History.Dir != "" && !filepath.IsAbs(s.History.Dir) {
 		s.History.Dir = filepath.Join(filepath.Dir(path), s.History.Dir)
 	}
@@ -495,6 +507,7 @@
 		{"quality.min_sessions", float64(s.Quality.MinSessions), 2}, {"quality.min_score", s.Quality.MinScore, 0},
 		{"history.segment_s", s.History.SegmentS, 0.1}, {"history.max_bytes", float64(s.History.MaxBytes), 0},
 		{"history.max_age_s", s.History.MaxAgeS, 0},
+		{"trace.part", s.Trace.Part, 0},
 		{"ladder.segment_ms", s.Ladder.SegmentMs, 100}, {"ladder.switch_s", s.Ladder.SwitchS, 0},
 		{"fleet.cells", float64(s.Fleet.Cells), 1}, {"fleet.racks", float64(s.Fleet.Racks), 1},
 		{"fleet.link_unit_kb", s.Fleet.LinkUnitKB, 0}, {"fleet.all_links_kb", s.Fleet.AllLinksKB, 0},
@@ -513,6 +526,12 @@
 	if d.Agent != "" {
 		c.addr("director.agent", d.Agent, true)
 	}
+	if d.Metrics != "" {
+		c.addr("director.metrics", d.Metrics, true)
+	}
+	if s.Trace.Part > 1 {
+		c.bad("trace.part", "%v is over 1, which is every session", s.Trace.Part)
+	}
 	if d.Operator != "" {
 		c.addr("director.operator", d.Operator, true)
 	}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -36,6 +36,7 @@
 	"headmill/internal/http1"
 	"headmill/internal/loop"
 	"headmill/internal/token"
+	"headmill/internal/trace"
 	"headmill/internal/ws"
 )
 
@@ -111,6 +112,7 @@
 	asked        bool
 	hurry        bool
 	History      *history.Writer // of closed windows; nil: none. Its owner closes it after the loop has ended
+	Trace        *trace.Tracer   // of sampled sessions; nil: none. Its owner closes it after the loop has ended
 	Done         func()          // called once when the director has stopped
 	ListenFD     int             // a listening socket that was handed over; 0: open one
 	stats        Stats
--- a/internal/director/path.go
+++ b/internal/director/path.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 
+	"go.opentelemetry.io/otel/attribute"
+
 	"headmill"
 	"headmill/decide/attempt"
 	"headmill/decide/boxes"
@@ -11,6 +13,7 @@
 	"headmill/decide/quality"
 	"headmill/internal/dash"
 	"headmill/internal/orca"
+	"headmill/internal/trace"
 )
 
 // sessionState is where a session of the table stands.
@@ -41,6 +44,7 @@
 	holders  []*socket    // connections that hold or watch it
 	report   string       // the player's last report
 	meter    limits.Meter // of reports that come by POST
+	story    *trace.Story // where it is sampled
 }
 
 // claims is the part of a token that a session keeps.
@@ -147,6 +151,8 @@
 		Title: v.title.number, RemainingMs: left, HintMs: v.title.DurationMs, Home: v.title.Home,
 		Copies: v.title.Copies, TopRung: v.claims.top, Spare: v.claims.spare})
 	d.holds(s)
+	s.story = d.Trace.Begin(s.claims.id, attribute.String("title", s.title.Name), attribute.String("class", s.title.Class),
+		attribute.String("brand", s.claims.brand), attribute.Bool("again", s.claims.repeated))
 }
 
 // fromModule carries out what the module says; every kind of action is here.
@@ -163,6 +169,7 @@
 			if s.state == plays {
 				d.tellRung(s)
 				d.viewRung(s)
+				s.story.Note("rung", attribute.Int("rung", s.rung))
 				for _, k := range s.holders {
 					k.rung(s)
 				}
@@ -172,6 +179,7 @@
 		if s != nil {
 			d.ledgerIn = append(d.ledgerIn, once.Event{Kind: once.Refused, Session: s.id, RetryMs: d.advice(s, a.RetryMs)})
 			d.holdsNone(s)
+			s.story.End("refused")
 		}
 	case headmill.ActFail:
 		if s != nil {
@@ -181,6 +189,7 @@
 			}
 			d.ledgerIn = append(d.ledgerIn, once.Event{Kind: once.Failed, Session: s.id, Why: why})
 			d.holdsNone(s)
+			s.story.End("failed: " + why.String())
 		}
 	case headmill.ActTimer:
 		name := a.Timer
@@ -228,6 +237,7 @@
 	}
 	s.state = finished
 	d.holdsNone(s)
+	s.story.End(why)
 	d.toModule(headmill.Event{Kind: headmill.EvSettled, Session: headmill.SessionID(s.id), Server: s.server,
 		Outcome: o, Finished: true, TookMs: d.l.Now() - s.asked, Report: report(load)})
 	d.watchIn = append(d.watchIn, boxes.Event{Kind: boxes.Gone, Box: boxes.Box(s.server), Session: boxes.Session(s.id)})
@@ -277,6 +287,7 @@
 	}
 	delete(d.sessions, s.id)
 	d.holdsNone(s)
+	s.story.End("forgotten")
 	d.accounts.Give(limits.Sessions, 1)
 	d.accounts.Give(limits.Reports, int64(len(s.report)))
 }
--- a/internal/director/quality.go
+++ b/internal/director/quality.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
+	"go.opentelemetry.io/otel/attribute"
 
 	"headmill"
 	"headmill/decide/limits"
@@ -85,6 +86,15 @@
 	if r.Bitrate > 0 {
 		ev.Rung, ev.NeedKB = d.rungOf(s, r.Bitrate), r.Bitrate/8
 	}
+	if s.story != nil {
+		told := []attribute.KeyValue{attribute.Float64("stall_ms", ev.StallMs), attribute.Bool("starved", r.Starved)}
+		for name, v := range map[string]float64{"got_kb": ev.GotKB, "need_kb": ev.NeedKB, "buffer_ms": r.Buffer} {
+			if !math.IsNaN(v) { // not told
+				told = append(told, attribute.Float64(name, v))
+			}
+		}
+		s.story.Note("report", told...)
+	}
 	if box != 0 {
 		ev.Box = d.group(quality.Box, d.fleet.Addr(box))
 	}
@@ -102,6 +112,19 @@
 	return best
 }
 
+// tellStories notes a finding on racks and boxes in the traces of the sessions that play there.
+func (d *Director) tellStories(f quality.Finding) {
+	for _, s := range d.sessions {
+		if s.story == nil || s.state != plays {
+			continue
+		}
+		if p := d.placeOf(s); f.Dim == quality.Rack && p.Rack == f.ID || f.Dim == quality.Box && p.Box == f.ID {
+			s.story.Note("finding", attribute.String(f.Dim.String(), d.views.names[f.Key]), attribute.Bool("over", f.Over),
+				attribute.Float64("load", f.Load))
+		}
+	}
+}
+
 // unix is a time of the loop as Unix time, ms.
 func (d *Director) unix(at float64) int64 { return d.wall().UnixMilli() - int64(d.l.Now()-at) }
 
@@ -160,6 +183,7 @@
 	for _, f := range d.views.q.Step(now, in) {
 		f := f
 		d.keepFinding(f)
+		d.tellStories(f)
 		d.log.Warn("quality: "+f.String(), "group", f.Dim.String(), "name", d.views.names[f.Key], "over", f.Over, "load", f.Load)
 	}
 	d.views.in = in[:0]
--- /dev/null
+++ b/internal/director/seen_test.go
@@ -0,0 +1,81 @@
+package director
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"headmill/internal/trace"
+)
+
+// A sampled session's trace tells its attempts, what its player reported and its end; a scrape tells the counts.
+func TestTraceAndMetrics(t *testing.T) {
+	r := newRig(t, 2, nil)
+	path := filepath.Join(t.TempDir(), "trace.json")
+	tr, err := trace.Open(path, "d0", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.on(func() int { r.d.Trace = tr; return 0 })
+	raw := r.token("free", "traced")
+	r.want("a session", r.get("free", raw), 200)
+	resp, err := http.Post("http://"+r.d.Addr()+"/cmcd?token="+raw, "application/cmcd", strings.NewReader("v=2,sn=1,mtp=100,bsd=1300,bs"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	addr, stop, err := r.d.ServeMetrics("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	scrape := func() string {
+		resp, err := http.Get("http://" + addr + "/metrics")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		b, _ := io.ReadAll(resp.Body)
+		return string(b)
+	}
+	r.until("the report in the figures", func() bool { return strings.Contains(scrape(), `headmill_reports_total{verdict="counted"} 1`) })
+	text := scrape()
+	for _, want := range []string{`headmill_orders_total{result="played"} 1`, `headmill_sessions{state="plays"} 1`, "headmill_boxes 2",
+		`headmill_memory_used{purpose="sessions"} 1`, "headmill_attempts_total 1", "go_goroutines"} {
+		if !strings.Contains(text, want+"\n") && !strings.Contains(text, want+" ") {
+			t.Errorf("the scrape lacks %s", want)
+		}
+	}
+	req, _ := http.NewRequest("DELETE", "http://"+r.d.Addr()+"/dash/free-title/manifest.mpd?token="+raw, nil)
+	if resp, err = http.DefaultClient.Do(req); err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	r.until("the end", func() bool { return strings.Contains(scrape(), `headmill_sessions{state="plays"} 0`) })
+	r.on(func() int { r.d.Trace = nil; return 0 })
+	if err := tr.Close(); err != nil {
+		t.Fatal(err)
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	lines, err := trace.Tell(f, "traced")
+	if err != nil {
+		t.Fatal(err)
+	}
+	story := ""
+	for _, l := range lines {
+		story += fmt.Sprintln(l.Text)
+	}
+	for _, want := range []string{"session begins", "attempt begins box=127.0.0.1:", "outcome=plays", "  report stall_ms=1300 starved=true", "end=ended here"} {
+		if !strings.Contains(story, want) {
+			t.Errorf("the story lacks %q:\n%s", want, story)
+		}
+	}
+}
--- a/internal/director/setup.go
+++ b/internal/director/setup.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 
+	"go.opentelemetry.io/otel/attribute"
+
 	"headmill"
 	"headmill/decide/attempt"
 	"headmill/decide/boxes"
@@ -48,6 +50,8 @@
 	s.setup, s.server, s.base, s.sent = t, server, "", s.rung
 	s.attempts++
 	d.stats.Attempts++
+	s.story.Attempt(attribute.String("box", t.b.addr), attribute.Int("rung", t.rung), attribute.Int("number", s.attempts),
+		attribute.Float64("allow_ms", ms(allow)))
 	d.watchIn = append(d.watchIn, boxes.Event{Kind: boxes.Expect, Box: boxes.Box(server), Session: boxes.Session(s.id)})
 	t.timer = d.l.After(allow, func() { t.step(attempt.Event{Kind: attempt.Expired}) })
 	u := t.b.rested()
@@ -167,9 +171,11 @@
 	d.l.Cancel(t.timer)
 	now := d.l.Now()
 	s.last = o
+	s.story.Settle(o.String(), o == attempt.Plays)
 	k, took := headmill.SessionID(s.id), now-t.took
 	if o == attempt.Plays {
 		s.state, s.played, s.base, s.setup = plays, now, t.base, nil
+		s.story.Play(attribute.String("box", t.b.addr), attribute.Int("rung", t.rung))
 		d.toModule(headmill.Event{Kind: headmill.EvPlaying, Session: k, Server: t.b.id, TookMs: took})
 		if t.load.X0 >= 0 {
 			d.toModule(headmill.Event{Kind: headmill.EvNote, Session: k, Server: t.b.id, Note: headmill.NoteLink,
