--- a/cmd/headmill/main_test.go
+++ b/cmd/headmill/main_test.go
@@ -444,30 +444,18 @@
 	if !rep.OK() {
 		t.Errorf("rules broke: %s", strings.Join(rep.Broken, "\n"))
 	}
+	list, err := r.Findings()
+	if err != nil {
+		t.Fatal(err)
+	}
 	found := 0
-	for _, d := range []string{"d0"} {
-		log, err := os.ReadFile(filepath.Join(dir, d+".log"))
-		if err != nil {
-			t.Fatal(err)
-		}
-		for _, line := range strings.Split(string(log), "\n") {
-			if !strings.Contains(line, `"msg":"quality: `) {
-				continue
-			}
-			t.Log(line)
-			var f struct {
-				Group, Name string
-				Over        bool
-			}
-			if err := json.Unmarshal([]byte(line), &f); err != nil {
-				t.Fatal(err)
-			}
-			// A director with sessions on one box of the rack only can't know more than that box.
-			if !(f.Group == "rack" && f.Name == "1" || f.Group == "box" && r.RackOf(f.Name) == 1) {
-				t.Errorf("%s finds %s %s", d, f.Group, f.Name)
-			} else if !f.Over {
-				found++
-			}
+	for _, f := range list {
+		t.Logf("%+v", f)
+		// A director with sessions on one box of the rack only can't know more than that box.
+		if !(f.Group == "rack" && f.Name == "1" || f.Group == "box" && r.RackOf(f.Name) == 1) {
+			t.Errorf("%s finds %s %s", f.Director, f.Group, f.Name)
+		} else if !f.Over {
+			found++
 		}
 	}
 	if found == 0 {
--- a/cmd/headmill/rehearse.go
+++ b/cmd/headmill/rehearse.go
@@ -127,6 +127,18 @@
 	}
 	row("segments played", r.Stats.Segments.Load(), fmt.Sprintf("%d late; %d sessions broke off", r.Stats.Stalled.Load(),
 		r.Stats.Broken.Load()))
+	found, err := r.Findings()
+	if err != nil {
+		row("findings", "", err.Error())
+	}
+	for i, f := range found {
+		if rack := r.RackOf(f.Name); i < 40 && f.Group == "box" {
+			f.Name += fmt.Sprintf(" (rack %d)", rack)
+		}
+		if i < 40 {
+			row(fmt.Sprintf("finding at %.1f s", f.At), map[bool]string{true: "over"}[f.Over], fmt.Sprintf("%s: %s %s, load %.2f", f.Director, f.Group, f.Name, f.Load))
+		}
+	}
 	row("took", took.Round(100*time.Millisecond), "")
 	w.Flush()
 	if len(rep.Broken) > 0 {
--- a/decide/limits/memory.go
+++ b/decide/limits/memory.go
@@ -10,11 +10,12 @@
 	Ledger                     // entries of the once-ledger: a new token is refused
 	Reports                    // bytes of players' reports: the report is dropped
 	Outgoing                   // bytes that wait for viewers: the connection that wants more is cut
+	Timelines                  // bytes of decide/quality's timelines: ended ones are forgotten early, new ones not kept
 	Sockets                    // sessions held over WebSocket connections: the message is refused
 	purposes
 )
 
-var purposeNames = [...]string{"sessions", "connections", "ledger", "reports", "outgoing", "sockets"}
+var purposeNames = [...]string{"sessions", "connections", "ledger", "reports", "outgoing", "timelines", "sockets"}
 
 func (p Purpose) String() string { return purposeNames[p] }
 
--- a/decide/quality/cause_test.go
+++ b/decide/quality/cause_test.go
@@ -59,3 +59,50 @@
 		}
 	})
 }
+
+// A flood of sessions and of late reports keeps to the cap: ended timelines go first, the longest ended before the
+// others, and those that play stay; the books are exact.
+func TestTimelinesKeepToTheirCap(t *testing.T) {
+	const most = 200 * (sessionBytes + spanBytes)
+	q := New(Config{WindowMs: 1000, LateMs: 5000, KeepMs: 1e6, MaxSpans: 8, MaxSeen: 16, MaxBytes: most, RungWorth: []float64{1}})
+	exact := func() {
+		t.Helper()
+		sum := int64(0)
+		for _, s := range q.sessions {
+			sum += s.bytes()
+		}
+		if sum != q.Bytes() || sum > most+200*16*markBytes {
+			t.Fatalf("%d bytes booked, %d held", q.Bytes(), sum)
+		}
+	}
+	for id := uint64(1); id <= 50; id++ { // fifty that play on
+		q.Step(float64(id), []Event{{Kind: Begun, Session: id, At: float64(id)}})
+	}
+	for id := uint64(100); id < 5000; id++ { // and thousands that come and go, with reports
+		now := float64(id * 10)
+		q.Step(now, []Event{{Kind: Begun, Session: id, At: now}, {Kind: Rung, Session: id, At: now + 1}, {Kind: Ended, Session: id, At: now + 2},
+			{Kind: Report, Session: 1 + id%50, Seen: Seen{At: math.NaN(), Arrived: now, Number: int64(id)}}})
+		exact()
+	}
+	for id := uint64(1); id <= 50; id++ {
+		if _, _, _, ok := q.Timeline(id); !ok {
+			t.Errorf("session %d plays and is forgotten", id)
+		}
+	}
+	if _, _, _, ok := q.Timeline(4999); !ok || q.Unkept() != 0 {
+		t.Errorf("the last one is kept: %v; %d were not", ok, q.Unkept())
+	}
+	if _, _, _, ok := q.Timeline(100); ok {
+		t.Error("the longest ended is kept")
+	}
+	for id := uint64(10000); id < 10400; id++ { // more that play than fit
+		q.Step(1e6, []Event{{Kind: Begun, Session: id, At: 1e6}})
+		exact()
+	}
+	if q.Unkept() == 0 || q.Bytes() > most+50*16*markBytes {
+		t.Errorf("%d not kept, %d bytes", q.Unkept(), q.Bytes())
+	}
+	if got := q.report(&Event{Session: 10399, Seen: Seen{At: math.NaN(), Arrived: 1e6, Number: 1}}); got != Unknown {
+		t.Errorf("a report of one that is not kept is %v", got)
+	}
+}
--- a/decide/quality/quality.go
+++ b/decide/quality/quality.go
@@ -41,6 +41,7 @@
 	MaxSpans  int       // of a session's timeline; older ones are merged
 	MaxSeen   int       // report numbers remembered for a session
 	MaxGroups int       // groups in a window; reports of further ones count in the whole only
+	MaxBytes  int64     // of all timelines; over it ended ones are forgotten early, then new ones are not kept. 0: no bound
 	RungWorth []float64 // quality of each rung
 	// Weights of the linear model (Yin, Jindal, Sekar, Sinopoli, SIGCOMM 2015, eq. 5), in quality units.
 	SwitchCost, StallCost, StartCost float64 // for a unit of change, a second of stall, a second of start-up
@@ -149,7 +150,10 @@
 	open     []*Window // by start, rising
 	closed   []*Window // not yet taken
 	counts   [verdicts]uint64
-	late     float64 // the most that a report came too late by
+	bytes    int64    // of timelines, about
+	over     []uint64 // ended sessions, the longest ended first
+	unkept   uint64   // sessions for which there was no room
+	late     float64  // the most that a report came too late by
 	swept    float64
 	looked   float64
 	found    map[Key]*Finding
@@ -173,6 +177,47 @@
 // Sessions is the number of timelines kept.
 func (q *Quality) Sessions() int { return len(q.sessions) }
 
+// What a timeline takes, about: the entry with its place in the table, each span, each mark of a report.
+const (
+	sessionBytes = 320
+	spanBytes    = 48
+	markBytes    = 8
+)
+
+// Bytes is what the timelines take, about.
+func (q *Quality) Bytes() int64 { return q.bytes }
+
+// Unkept counts the sessions that had no timeline because there was no room.
+func (q *Quality) Unkept() uint64 { return q.unkept }
+
+func (s *session) bytes() int64 {
+	return sessionBytes + spanBytes*int64(len(s.spans)) + markBytes*int64(len(s.seen))
+}
+
+func (q *Quality) forget(id uint64) {
+	if s := q.sessions[id]; s != nil {
+		q.bytes -= s.bytes()
+		delete(q.sessions, id)
+	}
+}
+
+// makeRoom forgets ended sessions, the longest ended first, until one more fits; false where none is left to forget.
+// A flood of ended sessions so never takes the place of those that play, and those that play are never forgotten.
+func (q *Quality) makeRoom() bool {
+	const one = sessionBytes + spanBytes
+	if q.cfg.MaxBytes <= 0 {
+		return true
+	}
+	for q.bytes+one > q.cfg.MaxBytes && len(q.over) > 0 {
+		id := q.over[0]
+		q.over = q.over[1:]
+		if s := q.sessions[id]; s != nil && s.ended > 0 {
+			q.forget(id)
+		}
+	}
+	return q.bytes+one <= q.cfg.MaxBytes
+}
+
 // Step takes events in the order in which they came and returns findings that began or ended.
 func (q *Quality) Step(now float64, events []Event) []Finding {
 	q.now = now
@@ -201,9 +246,14 @@
 		q.place(s, ev.At, ev.Place)
 		return
 	}
+	if !q.makeRoom() {
+		q.unkept++
+		return
+	}
 	s := &session{title: ev.Title, class: ev.Class, brand: ev.Brand, family: ev.Family, partly: ev.Kind == Adopt,
 		spans: []span{{ev.At, ev.Place}}, rung: -1, last: ev.At}
 	q.sessions[ev.Session] = s
+	q.bytes += s.bytes()
 	if ev.StartMs > 0 && ev.Kind == Begun {
 		if w := q.window(ev.At); w != nil {
 			w.start(q, s, &s.spans[0], ev.StartMs)
@@ -224,6 +274,9 @@
 		p.Rung, p.KB = ev.Place.Rung, ev.Place.KB
 		q.place(s, ev.At, p)
 	case Ended:
+		if s.ended == 0 {
+			q.over = append(q.over, ev.Session)
+		}
 		s.ended = ev.At
 	}
 }
@@ -235,6 +288,8 @@
 		s.spans[i].Place = p
 		return
 	}
+	q.bytes -= s.bytes()
+	defer func() { q.bytes += s.bytes() }()
 	s.spans = slices.Insert(s.spans, i, span{at, p})
 	if n := q.cfg.MaxSpans; n > 0 && len(s.spans) > n { // the oldest are merged; what they knew is said to be lost
 		s.spans = slices.Delete(s.spans, 0, len(s.spans)-n)
@@ -354,6 +409,7 @@
 func (q *Quality) remember(s *session, r *Seen) {
 	if len(s.seen) < max(q.cfg.MaxSeen, 1) {
 		s.seen = append(s.seen, r.mark())
+		q.bytes += markBytes
 		return
 	}
 	s.seen[s.next] = r.mark()
@@ -377,9 +433,13 @@
 	q.swept = q.now
 	for id, s := range q.sessions {
 		if s.ended > 0 && q.now-s.ended > q.cfg.KeepMs {
-			delete(q.sessions, id)
+			q.forget(id)
 		}
 	}
+	q.over = slices.DeleteFunc(q.over, func(id uint64) bool {
+		s := q.sessions[id]
+		return s == nil || s.ended == 0
+	})
 }
 
 // Closed takes the windows that were closed since the last call, oldest first.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -140,6 +140,7 @@
 	CommandsABox  int `toml:"commands_a_box"` // rung changes and ends that wait for one box
 	OutputInAll   int `toml:"output_in_all"`  // bytes that may wait for all viewers together
 	Reports       int `toml:"reports"`        // bytes of players' reports that are kept
+	Timelines     int `toml:"timelines"`      // bytes of the timelines that quality is worked out from
 	Message       int `toml:"message"`        // of a WebSocket message
 	SocketOpens   int `toml:"socket_opens"`   // requests that may be out on one WebSocket connection
 	SocketHolds   int `toml:"socket_holds"`   // sessions held by one WebSocket connection
@@ -242,7 +243,7 @@
 		Tokens:   Tokens{SkewMs: 250, Cache: 8192, Queue: 1024},
 		Limits: Limits{Connections: 20000, Line: 4608, Head: 16384, Fields: 64, Body: 65536,
 			Output: 262144, Entries: 200000, Waiters: 8, Boxes: 1024, PoolPerBox: 64, EventBytes: 1 << 20,
-			ConnsPerBox: 512, SessionsInAll: 100000, CommandsABox: 4096, OutputInAll: 256 << 20, Reports: 16 << 20, Message: 16384,
+			ConnsPerBox: 512, SessionsInAll: 100000, CommandsABox: 4096, OutputInAll: 256 << 20, Reports: 16 << 20, Timelines: 64 << 20, Message: 16384,
 			SocketOpens: 16, SocketHolds: 64, Sockets: 100000},
 		Quality: Quality{WindowMs: 5000, LateMs: 25000, SkewMs: 3600e3, KeepMs: 120000, LookMs: 500, ConfirmMs: 1500, Groups: 4096, SwitchCost: 1,
 			StallCost: 3, StartCost: 0.2, ShortUnder: 0.9, MinSessions: 6, MinScore: 8, Relieve: true},
@@ -493,7 +494,7 @@
 		{"times.command_ms", s.Times.CommandMs, 10}, {"times.margin_ms", s.Times.MarginMs, 0},
 		{"times.ping_ms", s.Times.PingMs, 50}, {"times.pong_ms", s.Times.PongMs, 50}, {"times.tie_ms", s.Times.TieMs, 0},
 		{"times.report_ms", s.Times.ReportMs, 1}, {"times.notice_ms", s.Times.NoticeMs, 0},
-		{"limits.output_in_all", float64(s.Limits.OutputInAll), 65536}, {"limits.reports", float64(s.Limits.Reports), 0},
+		{"limits.output_in_all", float64(s.Limits.OutputInAll), 65536}, {"limits.reports", float64(s.Limits.Reports), 0}, {"limits.timelines", float64(s.Limits.Timelines), 0},
 		{"limits.message", float64(s.Limits.Message), 1024}, {"limits.socket_opens", float64(s.Limits.SocketOpens), 1},
 		{"limits.socket_holds", float64(s.Limits.SocketHolds), 1}, {"limits.sockets", float64(s.Limits.Sockets), 1},
 		{"gate.min_retry_ms", s.Gate.MinRetryMs, 0}, {"gate.remember_ms", s.Gate.RememberMs, 0},
--- a/internal/director/limits.go
+++ b/internal/director/limits.go
@@ -42,7 +42,8 @@
 func (d *Director) setCaps() {
 	l := &d.cfg.Limits
 	for p, n := range map[limits.Purpose]int{limits.Sessions: l.SessionsInAll, limits.Connections: l.Connections,
-		limits.Ledger: l.Entries, limits.Reports: l.Reports, limits.Outgoing: l.OutputInAll, limits.Sockets: l.Sockets} {
+		limits.Ledger: l.Entries, limits.Reports: l.Reports, limits.Outgoing: l.OutputInAll, limits.Sockets: l.Sockets,
+		limits.Timelines: l.Timelines} {
 		d.accounts.SetCap(p, int64(n))
 	}
 }
@@ -92,6 +93,7 @@
 	}
 	d.gate.Step(now, []limits.Event{ev}, nil)
 	d.accounts.Set(limits.Ledger, int64(d.ledger.Entries()))
+	d.accounts.Set(limits.Timelines, d.views.q.Bytes())
 	waits, worst := d.waiting()
 	for !d.accounts.Set(limits.Outgoing, int64(waits)) && worst != nil {
 		worst.Close(loop.ErrSlowReader)
--- a/internal/director/quality.go
+++ b/internal/director/quality.go
@@ -32,7 +32,7 @@
 func (d *Director) setViews() {
 	c := &d.cfg.Quality
 	d.views = views{names: map[quality.Key]string{}, bad: map[string]uint64{}, q: quality.New(quality.Config{WindowMs: c.WindowMs,
-		LateMs: c.LateMs, SkewMs: c.SkewMs, KeepMs: c.KeepMs, MaxSpans: 64, MaxSeen: 64, MaxGroups: c.Groups,
+		LateMs: c.LateMs, SkewMs: c.SkewMs, KeepMs: c.KeepMs, MaxSpans: 64, MaxSeen: 64, MaxGroups: c.Groups, MaxBytes: int64(d.cfg.Limits.Timelines),
 		RungWorth: d.cfg.Ladder.Worth, SwitchCost: c.SwitchCost, StallCost: c.StallCost, StartCost: c.StartCost,
 		ShortUnder: c.ShortUnder, LookMs: c.LookMs, ConfirmMs: c.ConfirmMs, MinSessions: c.MinSessions, MinScore: c.MinScore})}
 }
--- a/internal/standin/box/box.go
+++ b/internal/standin/box/box.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -24,32 +25,35 @@
 
 // Config is one box.
 type Config struct {
-	Addr      string    // to listen on
-	Public    string    // address that the list tells, where a relay stands before it
-	RateKB    []float64 // the ladder
-	Scale     map[string]float64
-	LinkKB    float64
-	UplinkKB  float64 // of its rack
-	Places    int
-	Cores     int
-	WorkMs    float64
-	Cell      int
-	Rack      int
-	Kind      int
-	Zone      int
-	SegmentMs int
-	IdleMs    float64 // a session without a segment request for so long ends
-	OrphanMs  float64 // sessions of a director whose stream of notes is gone for so long end
-	TellMs    float64
-	LateMs    float64 // how late notes on load are
-	WarmMs    float64
-	ColdFrom  float64
-	Factor    float64 // falls over at this many times its pace ...
-	TipMs     float64 // ... over this long
-	Cold      bool    // it starts cold
-	Mute      bool    // its answers and notes tell no load of links
-	ListAddr  string  // list service that it reports to; empty: none
-	Keys      []byte  // JSON Web Key Set
+	Addr       string    // to listen on
+	Public     string    // address that the list tells, where a relay stands before it
+	RateKB     []float64 // the ladder
+	Scale      map[string]float64
+	LinkKB     float64
+	UplinkKB   float64 // of its rack
+	Places     int
+	Cores      int
+	WorkMs     float64
+	Cell       int
+	Rack       int
+	Kind       int
+	Zone       int
+	SegmentMs  int
+	IdleMs     float64 // a session without a segment request for so long ends
+	OrphanMs   float64 // sessions of a director whose stream of notes is gone for so long end
+	TellMs     float64
+	LateMs     float64 // how late notes on load are
+	WarmMs     float64
+	ColdFrom   float64
+	Factor     float64 // falls over at this many times its pace ...
+	TipMs      float64 // ... over this long
+	Cold       bool    // it starts cold
+	Mute       bool    // its answers and notes tell no load of links
+	LatePart   float64 // of the players' reports that it hands on up to LateUpToMs late, in any order
+	LateUpToMs float64
+	DoublePart float64 // of them that it hands on twice
+	ListAddr   string  // list service that it reports to; empty: none
+	Keys       []byte  // JSON Web Key Set
 }
 
 // Faults are switched on and off while it runs.
@@ -79,6 +83,7 @@
 	CMCD    string  `json:"cmcd"`
 	AgoMs   float64 `json:"ago_ms"`
 	at      time.Time
+	due     time.Time
 }
 
 type stream struct {
@@ -499,12 +504,24 @@
 		}
 		tell, short = tell && !b.cfg.Mute, short && !b.cfg.Mute
 		for d, l := range b.reports {
-			for i := range l {
-				l[i].AgoMs = ms(now.Sub(l[i].at))
+			var out, wait []handed
+			for _, h := range l {
+				if h.due.After(now) {
+					wait = append(wait, h)
+					continue
+				}
+				if h.due.IsZero() { // of one that was held back it does not know how long: the player's own clock counts
+					h.AgoMs = ms(now.Sub(h.at))
+				}
+				out = append(out, h)
+			}
+			if len(out) > 0 {
+				data, _ := json.Marshal(out)
+				b.send(d, fmt.Sprintf("event: reports\ndata: %s\n\n", data), b.faults.LateMs)
+			}
+			if b.reports[d] = wait; len(wait) == 0 {
+				delete(b.reports, d)
 			}
-			data, _ := json.Marshal(l)
-			b.send(d, fmt.Sprintf("event: reports\ndata: %s\n\n", data), b.faults.LateMs)
-			delete(b.reports, d)
 		}
 		for d, name := range first {
 			if short {
@@ -578,7 +595,14 @@
 	}
 	s.seen = time.Now()
 	if list := r.URL.Query().Get("CMCD"); list != "" && len(b.reports[s.director]) < 4096 {
-		b.reports[s.director] = append(b.reports[s.director], handed{Session: s.name, CMCD: list, at: s.seen})
+		h := handed{Session: s.name, CMCD: list, at: s.seen}
+		if c := &b.cfg; rand.Float64() < c.LatePart {
+			h.due = s.seen.Add(time.Duration(rand.Float64() * c.LateUpToMs * float64(time.Millisecond)))
+		}
+		b.reports[s.director] = append(b.reports[s.director], h)
+		if rand.Float64() < b.cfg.DoublePart {
+			b.reports[s.director] = append(b.reports[s.director], h)
+		}
 	}
 	top := s.rung
 	kbps, share, scale := b.rate(s), b.share(), b.cfg.Scale[s.class]
--- a/internal/standin/rehearse/rehearse.go
+++ b/internal/standin/rehearse/rehearse.go
@@ -1,11 +1,17 @@
 package rehearse
 
 import (
+	"bufio"
+	"cmp"
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -44,6 +50,7 @@
 	flood  *rand.Rand // of a flood's
 	nth    atomic.Int64
 	living sync.WaitGroup
+	Began  time.Time
 	Stats  player.Stats
 	CPU    []float64 // ms that each director used, as far as it lived to the end
 }
@@ -62,6 +69,9 @@
 		b.Places = int(math.Round(float64(b.Places) * s.Room))
 		f.Places = []int{b.Places}
 	}
+	if err := errors.Join(overlay(&spec.Base, s.Settings), overlay(&spec.Box, s.Box)); err != nil {
+		return nil, err
+	}
 	if r.Edit != nil {
 		r.Edit(&spec)
 	}
@@ -77,6 +87,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	began := time.Now()
+	r.Began = began
 	var wg sync.WaitGroup
 	rng := rand.New(rand.NewPCG(s.Seed, 11))
 	for _, t := range s.Troubles {
@@ -354,6 +365,40 @@
 	}()
 }
 
+// Found is one line of a director's log on quality.
+type Found struct {
+	Director, Group, Name string
+	Over                  bool
+	Load                  float64
+	At                    float64 // s since the day began
+}
+
+// Findings reads what the directors' logs say of quality.
+func (r *Run) Findings() (out []Found, err error) {
+	for _, m := range r.st.Directors {
+		f, err := os.Open(filepath.Join(r.Dir, m.Name+".log"))
+		if err != nil {
+			return nil, err
+		}
+		defer f.Close()
+		sc := bufio.NewScanner(f)
+		for sc.Buffer(nil, 1<<20); sc.Scan(); {
+			var line struct {
+				Time        time.Time
+				Msg         string
+				Group, Name string
+				Over        bool
+				Load        float64
+			}
+			if json.Unmarshal(sc.Bytes(), &line) == nil && strings.HasPrefix(line.Msg, "quality: ") {
+				out = append(out, Found{m.Name, line.Group, line.Name, line.Over, line.Load, line.Time.Sub(r.Began).Seconds()})
+			}
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Found) int { return cmp.Compare(a.At, b.At) })
+	return out, nil
+}
+
 // RackOf is the rack in which the box of an address stands; -1 for no box.
 func (r *Run) RackOf(addr string) int {
 	for _, m := range r.st.Boxes {
--- a/internal/standin/rehearse/script.go
+++ b/internal/standin/rehearse/script.go
@@ -15,20 +15,37 @@
 
 // Script is a bad day. Troubles bear the names and columns under which operators record them.
 type Script struct {
-	Seconds   float64   `toml:"seconds"`
-	Rate      float64   `toml:"rate"` // new viewers a second
-	Directors int       `toml:"directors"`
-	Boxes     int       `toml:"boxes"`
-	Titles    int       `toml:"titles"`
-	LifeS     float64   `toml:"life_s"`
-	Seed      uint64    `toml:"seed"`
-	Double    float64   `toml:"double"`   // share of viewers that ask twice at the same moment
-	Socket    float64   `toml:"socket"`   // share of viewers that come over the session API
-	AdviceS   float64   `toml:"advice_s"` // the longest advice that a refusal may give
-	Gate      string    `toml:"gate"`     // "off": the limits pass all, for comparison
-	Room      float64   `toml:"room"`     // part of their links, uplinks and places that the boxes have; 0: all
-	Only      string    `toml:"only"`     // viewers of other brands stay away
-	Troubles  []Trouble `toml:"trouble"`
+	Seconds   float64        `toml:"seconds"`
+	Rate      float64        `toml:"rate"` // new viewers a second
+	Directors int            `toml:"directors"`
+	Boxes     int            `toml:"boxes"`
+	Titles    int            `toml:"titles"`
+	LifeS     float64        `toml:"life_s"`
+	Seed      uint64         `toml:"seed"`
+	Double    float64        `toml:"double"`   // share of viewers that ask twice at the same moment
+	Socket    float64        `toml:"socket"`   // share of viewers that come over the session API
+	AdviceS   float64        `toml:"advice_s"` // the longest advice that a refusal may give
+	Gate      string         `toml:"gate"`     // "off": the limits pass all, for comparison
+	Room      float64        `toml:"room"`     // part of their links, uplinks and places that the boxes have; 0: all
+	Only      string         `toml:"only"`     // viewers of other brands stay away
+	Settings  map[string]any `toml:"settings"` // over the directors' own, in their form
+	Box       map[string]any `toml:"box"`      // over what all boxes share (box.Config)
+	Troubles  []Trouble      `toml:"trouble"`
+}
+
+// overlay puts a table of the script over what stands in v.
+func overlay(v any, table map[string]any) error {
+	if len(table) == 0 {
+		return nil
+	}
+	text, err := toml.Marshal(table)
+	if err == nil {
+		err = toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(v)
+	}
+	if err != nil {
+		return fmt.Errorf("script: settings or box: %w", err)
+	}
+	return nil
 }
 
 // Trouble is one thing that goes wrong.
