--- a/cmd/headmill/quality.go
+++ b/cmd/headmill/quality.go
@@ -8,6 +8,7 @@
 	"math"
 	"os"
 	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -132,7 +133,7 @@
 
 func (c *showCmd) groups(clients []pb.OperatorClient) error {
 	sum := map[string]*quality.Group{}
-	var findings []*pb.Finding
+	var told []quality.Told
 	answered := 0
 	for i, cl := range clients {
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
@@ -143,7 +144,10 @@
 			continue
 		}
 		answered++
-		findings = append(findings, r.Findings...)
+		for _, f := range r.Findings {
+			told = append(told, quality.Told{Director: r.Director, Dim: f.Dimension, Name: f.Name, SinceMs: f.SinceMs, Load: f.Load,
+				Sessions: f.Sessions, Short: f.Short})
+		}
 		for _, g := range r.Groups {
 			part := &quality.Group{Reports: g.Reports, Starts: g.Starts, StallMs: g.StallMs, Stalled: g.Stalled, Score: g.Score,
 				Lost: g.Lost, Switches: g.Switches}
@@ -174,6 +178,7 @@
 		}
 		return int(map[bool]float64{true: -1, false: 1}[a.Name < b.Name])
 	})
+	findings := quality.Join(told)
 	if c.JSON {
 		line, err := json.Marshal(map[string]any{"groups": rows, "findings": findings, "directors": answered})
 		if err != nil {
@@ -190,7 +195,8 @@
 	}
 	w.Flush()
 	for _, f := range findings {
-		fmt.Printf("finding: %s %s, for %.1f s: %s\n", f.Dimension, f.Name, f.SinceMs/1000, f.Evidence)
+		fmt.Printf("finding: %s %s, for %.1f s, named by %s: %d of %d sessions short; asked for about %.2f of what it gives\n", f.Dim, f.Name,
+			f.SinceMs/1000, strings.Join(f.Directors, ", "), f.Short, f.Sessions, f.Load)
 	}
 	return nil
 }
--- a/decide/quality/cause_test.go
+++ b/decide/quality/cause_test.go
@@ -106,3 +106,39 @@
 		t.Errorf("a report of one that is not kept is %v", got)
 	}
 }
+
+// Directors' parts add up whatever their order, each counts once, and nothing is lost.
+func TestJoin(t *testing.T) {
+	list := []Told{{"d1", "box", "b", 900, 1.2, 8, 6}, {"d0", "rack", "1", 500, 2, 20, 10}, {"d1", "rack", "1", 1500, 1, 10, 10},
+		{"d0", "rack", "1", 700, 1.5, 22, 30}}
+	got := Join(list)
+	if len(got) != 2 || got[0].Name != "1" || !slices.Equal(got[0].Directors, []string{"d0", "d1"}) || got[0].Sessions != 32 ||
+		got[0].Short != 40 || got[0].SinceMs != 1500 || math.Abs(got[0].Load-(1.5*30+10)/40) > 1e-9 || got[1].Dim != "box" {
+		t.Errorf("%+v", got)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		var list []Told
+		short := int64(0)
+		for d := range rapid.IntRange(0, 4).Draw(t, "directors") {
+			for _, name := range []string{"1", "2", "3"} {
+				if rapid.Bool().Draw(t, "names it") {
+					n := int64(rapid.IntRange(0, 9).Draw(t, "short"))
+					short += n
+					list = append(list, Told{string(rune('a' + d)), "rack", name, 1, 1.5, 10, n})
+				}
+			}
+		}
+		a := Join(list)
+		slices.Reverse(list)
+		sum := int64(0)
+		for i, j := range Join(list) {
+			sum += j.Short
+			if j.Name != a[i].Name || j.Short != a[i].Short || math.Abs(j.Load-1.5) > 1e-9 || !slices.IsSorted(j.Directors) {
+				t.Fatalf("%+v, in the other order %+v", a[i], j)
+			}
+		}
+		if sum != short || len(Join(append(list, list...))) != len(a) {
+			t.Fatalf("%d short of %d", sum, short)
+		}
+	})
+}
--- a/internal/director/rig_test.go
+++ b/internal/director/rig_test.go
@@ -27,7 +27,7 @@
 
 // rig is a director with stand-ins around it, all on loopback in this process.
 type rig struct {
-	t      *testing.T
+	t      testing.TB
 	cfg    *config.Settings
 	d      *Director
 	l      *loop.Loop
@@ -82,7 +82,7 @@
 	return s
 }
 
-func newRig(t *testing.T, boxes int, edit func(*config.Settings, *sbox.Config)) *rig {
+func newRig(t testing.TB, boxes int, edit func(*config.Settings, *sbox.Config)) *rig {
 	t.Helper()
 	r := &rig{t: t, key: token.NewKey("k1", bytes.Repeat([]byte{7}, 32)), log: &syncBuffer{}, ended: make(chan error, 1)}
 	r.keys = token.FormatKeys([]token.Key{r.key}, false)
--- a/internal/director/seen_test.go
+++ b/internal/director/seen_test.go
@@ -1,14 +1,19 @@
 package director
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
+	"headmill/internal/config"
+	sbox "headmill/internal/standin/box"
 	"headmill/internal/trace"
 )
 
@@ -79,3 +84,47 @@
 		}
 	}
 }
+
+// Reports a second that one director takes over sockets: 64 sessions' players post sixteen lists at a time.
+func BenchmarkReportsPosted(b *testing.B) {
+	r := newRig(b, 1, func(s *config.Settings, x *sbox.Config) { s.Times.ReportMs, x.Places, x.LinkKB = 1, 1000, 1e6 })
+	var conns []*bufio.ReadWriter
+	var heads []string
+	for i := range 64 {
+		raw := r.token("free", fmt.Sprint("bench", i))
+		if got := r.get("free", raw); got.status != 200 {
+			b.Fatal(got.status, got.body)
+		}
+		c, err := net.Dial("tcp4", r.d.Addr())
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer c.Close()
+		conns = append(conns, bufio.NewReadWriter(bufio.NewReader(c), bufio.NewWriter(c)))
+		heads = append(heads, "POST /cmcd?token="+raw+" HTTP/1.1\r\nHost: x\r\nContent-Length: ")
+	}
+	before := r.on(func() int { return int(r.d.stats.ReportsTaken) })
+	b.ResetTimer()
+	number := 0
+	for n := 0; n < b.N; n += 16 * len(conns) {
+		for i, c := range conns {
+			var body strings.Builder
+			for range 16 {
+				number++
+				fmt.Fprintf(&body, "v=2,e=t,ts=%d,sn=%d,mtp=400,br=224,bl=4000\n", time.Now().UnixMilli(), number)
+			}
+			fmt.Fprintf(c, "%s%d\r\n\r\n%s", heads[i], body.Len(), body.String())
+			c.Flush()
+		}
+		for _, c := range conns {
+			resp, err := http.ReadResponse(c.Reader, nil)
+			if err != nil || resp.StatusCode != 204 {
+				b.Fatal(err, resp)
+			}
+		}
+	}
+	b.StopTimer()
+	taken := r.on(func() int { return int(r.d.stats.ReportsTaken) }) - before
+	b.ReportMetric(float64(taken)/b.Elapsed().Seconds(), "taken/s")
+	b.ReportMetric(float64(r.on(func() int { return int(r.d.views.q.Bytes()) }))/64, "bytes/session")
+}
