A brand that is not there holds nobody back

Cause: found in review. A brand that had asked once left a count that fades and never reaches nothing, so every other brand pressed against it for ever and was held to what can be lent, at lower rungs. A brand without a first try in memory (half of one, over 6 s) that holds no session no longer counts; a test asks once and floods for 40 s after it.

--- a/decide/limits/brands.go
+++ b/decide/limits/brands.go
@@ -5,14 +5,15 @@
 // brand is one tenant: what it holds in each cell, and how its titles fare.
 type brand struct {
 	Brand
-	part   float64
-	held   []Room  // by cell
-	wants  rate    // first tries a ms
-	fit    float64 // part of its viewers' full rates at which what it wants would fit into its share
-	asked  float64 // first tries since it was last moved, and those refused for want of rate
-	missed float64
-	titles map[uint64]*title
-	swept  float64
+	part    float64
+	held    []Room  // by cell
+	wants   rate    // first tries a ms
+	fit     float64 // part of its viewers' full rates at which what it wants would fit into its share
+	asked   float64 // first tries since it was last moved, and those refused for want of rate
+	missed  float64
+	holding int // sessions
+	titles  map[uint64]*title
+	swept   float64
 }
 
 // title counts what a title of the brand was let through lately, and whether it wanted more.
--- a/decide/limits/held.go
+++ b/decide/limits/held.go
@@ -113,6 +113,7 @@
 	g.drop(ev.ID)
 	h := &hold{b: g.brand(ev.Brand), home: ev.Home, copies: max(ev.Copies, 1), kb: g.kb(ev.Class, ev.Top)}
 	g.holds[ev.ID] = h
+	h.b.holding++
 	g.book(h, 1)
 }
 
@@ -132,6 +133,7 @@
 func (g *Gate) drop(id uint64) {
 	if h := g.holds[id]; h != nil {
 		g.book(h, -1)
+		h.b.holding--
 		delete(g.holds, id)
 	}
 }
@@ -145,12 +147,13 @@
 	listed := map[*brand]bool{}
 	for _, b := range g.brands {
 		listed[b] = true
-		b.held = make([]Room, len(g.rooms))
+		b.held, b.holding = make([]Room, len(g.rooms)), 0
 	}
 	for _, h := range g.holds {
 		if !listed[h.b] {
 			h.b = g.brands[len(g.brands)-1]
 		}
+		h.b.holding++
 		g.book(h, 1)
 	}
 }
@@ -171,7 +174,10 @@
 	const ms = rateTauMs * wantsTaus
 	for _, o := range g.brands {
 		n := o.wants.perMs * ms
-		if o != b && o.part > 0 && n > 0 && b.wants.perMs*ms*o.part > pressFrom*(n+2*math.Sqrt(n))*b.part {
+		if o == b || n < leastWants && o.holding == 0 { // not there: its share is lent to whoever asks
+			continue
+		}
+		if o.part > 0 && b.wants.perMs*ms*o.part > pressFrom*(n+2*math.Sqrt(n))*b.part {
 			return true
 		}
 	}
--- a/decide/limits/limits.go
+++ b/decide/limits/limits.go
@@ -30,6 +30,7 @@
 	fitDown     = 0.2    // of a brand's fit in a slot in which all its first tries were refused
 	fitUp       = 1.1    // its growth in a slot in which none was: 46% a second
 	wantsTaus   = 3.0    // times as long is what brands ask for remembered
+	leastWants  = 0.5    // first tries remembered of a brand that is there
 	pressFrom   = 1.5    // times what another brand asks for, in proportion to their shares
 	mostSpare   = 0.5    // of the room that is ever kept free from loans and repeated tries
 	titleMs     = 1000.0 // ms in which a title's count of what it was let through forgets two thirds
--- a/decide/limits/limits_test.go
+++ b/decide/limits/limits_test.go
@@ -241,6 +241,22 @@
 	}
 }
 
+// A brand that asked once, long ago, and holds nothing takes nothing from the others: they are left to the module.
+func TestAnAbsentBrandHoldsNobodyBack(t *testing.T) {
+	w := newWorld(config(), 40, 1000)
+	w.ask(0, 1, 1)
+	for i := range 4000 {
+		w.wait(10)
+		w.ask(1, uint64(100+i), uint64(i%7))
+		if i == 2000 {
+			w.shed = map[Reason]int{}
+		}
+	}
+	if w.shed[Share] > 0 || w.shed[NoBox] == 0 {
+		t.Errorf("refused: %v", w.shed)
+	}
+}
+
 func TestTitlesOfABrand(t *testing.T) {
 	w := newWorld(config(), 20, 1000)
 	placed := map[uint64]int{}
@@ -490,6 +506,15 @@
 				for _, r := range b.held {
 					all += r.Seats
 				}
+				n := 0
+				for _, h := range g.holds {
+					if h.b == b {
+						n++
+					}
+				}
+				if n != b.holding {
+					t.Fatalf("%d sessions booked, %d held", b.holding, n)
+				}
 				if b.fit <= 0 || b.fit > 1 {
 					t.Fatalf("fit %v", b.fit)
 				}
