A wavering cause is confirmed, not begun anew at each look

A cause had to hold in every look for 1.5 s; a rack that is short by a fifth wavers about the bound of half its sessions, and each miss began the time anew. A miss now takes back one look. A test has causes that hold in two looks of three (named within 6 s) and in every other one (never).

--- a/decide/quality/cause_test.go
+++ b/decide/quality/cause_test.go
@@ -142,3 +142,30 @@
 		}
 	})
 }
+
+// A cause that holds in two looks of three is named in a few seconds; one that holds in every other look never is.
+func TestWaveringCause(t *testing.T) {
+	for _, c := range []struct {
+		every int // one look in so many does not hold
+		named bool
+	}{{3, true}, {2, false}} {
+		q := New(Config{WindowMs: 5000, LookMs: 500, ConfirmMs: 1500, MinSessions: 6, MinScore: 8})
+		k, began := Key{Rack, 1}, 0.0
+		for i := 1; i <= 60 && began == 0; i++ {
+			q.now = float64(i) * 500
+			hold := map[Key]Finding{}
+			if i%c.every != 0 {
+				hold[k] = Finding{Key: k, At: q.now}
+			}
+			if out := q.changes(hold); len(out) > 0 {
+				began = q.now
+				if out[0].Since != 500 {
+					t.Errorf("since %v", out[0].Since)
+				}
+			}
+		}
+		if c.named != (began > 0) || began > 6000 {
+			t.Errorf("missing every %d: named at %v ms", c.every, began)
+		}
+	}
+}
--- a/decide/quality/finding.go
+++ b/decide/quality/finding.go
@@ -145,6 +145,13 @@
 	return float64(t.short)*math.Log(p) + float64(t.n-t.short)*math.Log(1-p)
 }
 
+// holding is a cause that is not confirmed yet. A look in which it does not hold takes back what one in which it does
+// gives, no more: a rack that is short by a little wavers about the bound, and must not begin anew each time.
+type holding struct {
+	since float64
+	left  float64 // ms for which it must still hold
+}
+
 // changes tells findings that began, and those that have been gone for two windows.
 func (q *Quality) changes(hold map[Key]Finding) (out []Finding) {
 	for k, f := range hold {
@@ -154,18 +161,24 @@
 			continue
 		}
 		// One box of a squeezed rack may tell first: a cause is named once it has explained most for a while.
-		if _, ok := q.held[k]; !ok {
-			q.held[k] = q.now
+		h := q.held[k]
+		if h == nil {
+			h = &holding{since: q.now, left: q.cfg.ConfirmMs + q.cfg.LookMs}
+			q.held[k] = h
 		}
-		if f.Since = q.held[k]; q.now-f.Since < q.cfg.ConfirmMs {
+		f.Since = h.since
+		if h.left -= q.cfg.LookMs; h.left > 0 {
 			continue
 		}
 		delete(q.held, k)
 		q.found[k] = &f
 		out = append(out, f)
 	}
-	for k := range q.held {
-		if _, ok := hold[k]; !ok {
+	for k, h := range q.held {
+		if _, ok := hold[k]; ok {
+			continue
+		}
+		if h.left += q.cfg.LookMs; h.left > q.cfg.ConfirmMs {
 			delete(q.held, k)
 		}
 	}
--- a/decide/quality/quality.go
+++ b/decide/quality/quality.go
@@ -157,12 +157,12 @@
 	swept    float64
 	looked   float64
 	found    map[Key]*Finding
-	held     map[Key]float64 // causes that are not confirmed yet, since when
+	held     map[Key]*holding // causes that are not confirmed yet
 }
 
 // New makes an empty state.
 func New(cfg Config) *Quality {
-	return &Quality{cfg: cfg, sessions: map[uint64]*session{}, found: map[Key]*Finding{}, held: map[Key]float64{}}
+	return &Quality{cfg: cfg, sessions: map[uint64]*session{}, found: map[Key]*Finding{}, held: map[Key]*holding{}}
 }
 
 // Counts tells how many reports had each verdict.
