The cap on timelines is read again on SIGHUP too

Cause: found in review. limits.timelines changed the account and not the bound that decide/quality keeps to. A test lowers it below what is in use: nothing that plays is forgotten and nothing new is kept.

--- a/decide/quality/cause_test.go
+++ b/decide/quality/cause_test.go
@@ -102,6 +102,13 @@
 	if q.Unkept() == 0 || q.Bytes() > most+50*16*markBytes {
 		t.Errorf("%d not kept, %d bytes", q.Unkept(), q.Bytes())
 	}
+	before := q.Bytes()
+	q.SetMaxBytes(before / 2) // lowered below what is in use: nothing that plays goes, nothing new comes
+	q.Step(1e6, []Event{{Kind: Begun, Session: 20000, At: 1e6}})
+	exact()
+	if _, _, _, ok := q.Timeline(20000); ok || q.Bytes() != before {
+		t.Errorf("a lowered cap: %d bytes of %d", q.Bytes(), before)
+	}
 	if got := q.report(&Event{Session: 10399, Seen: Seen{At: math.NaN(), Arrived: 1e6, Number: 1}}); got != Unknown {
 		t.Errorf("a report of one that is not kept is %v", got)
 	}
--- a/decide/quality/quality.go
+++ b/decide/quality/quality.go
@@ -187,6 +187,9 @@
 // Bytes is what the timelines take, about.
 func (q *Quality) Bytes() int64 { return q.bytes }
 
+// SetMaxBytes changes the bound on timelines. One below what they take forgets ended ones at the next session.
+func (q *Quality) SetMaxBytes(n int64) { q.cfg.MaxBytes = n }
+
 // Unkept counts the sessions that had no timeline because there was no room.
 func (q *Quality) Unkept() uint64 { return q.unkept }
 
--- a/internal/director/limits.go
+++ b/internal/director/limits.go
@@ -53,6 +53,7 @@
 func (d *Director) Reload(cfg *config.Settings) {
 	d.cfg.Limits, d.cfg.Brands = cfg.Limits, cfg.Brands
 	d.setCaps()
+	d.views.q.SetMaxBytes(int64(d.cfg.Limits.Timelines))
 	if b := brands(d.cfg); len(b) > 0 {
 		d.gate.SetBrands(b)
 	}
