--- a/cmd/headmill/trace.go
+++ b/cmd/headmill/trace.go
@@ -24,7 +24,7 @@
 		lines, err := trace.Tell(f, c.JTI)
 		f.Close()
 		if err != nil {
-			fmt.Fprintf(os.Stderr, "headmill: %s: %v; what stands before that is told\n", name, err)
+			fmt.Fprintf(os.Stderr, "headmill: %s: %v; the rest is told\n", name, err)
 		}
 		all = append(all, lines...)
 	}
--- a/cmd/headmill/up.go
+++ b/cmd/headmill/up.go
@@ -103,7 +103,8 @@
 			tokens[1])
 		fmt.Printf("\nfurther tokens:\n  headmill token mint --keys %s --title %s --class %s\n",
 			filepath.Join(dir, "keys-private.json"), out.Titles[1].Title, out.Titles[1].Class)
-		if fmt.Printf("\na page that plays it in dash.js: %s\n", out.Page); scriptErr != nil {
+		fmt.Printf("\na page that plays it in dash.js: %s\n", out.Page)
+		if scriptErr != nil {
 			fmt.Println("  dash.js is not there yet; this gets it: npm ci --prefix test/browser")
 		}
 		fmt.Println("\nrunning until a signal (Ctrl-C)")
--- a/decide/limits/brands.go
+++ b/decide/limits/brands.go
@@ -23,8 +23,7 @@
 }
 
 // refit moves fit once a slot: down by at most a fifth, as far as first tries were refused, and slowly up again
-// where none were.
-// It never falls under least.
+// where none were. It never falls under least.
 func (b *brand) refit(least float64) {
 	if b.missed > 0 {
 		b.fit = math.Max(b.fit*(1-fitDown*b.missed/b.asked), least)
--- a/decide/limits/held.go
+++ b/decide/limits/held.go
@@ -9,9 +9,8 @@
 // What is shared out is what sessions hold, not how often they were let in: a session holds its room until its
 // clip ends, and once the boxes are full a free seat goes to whoever asks most often. Held is counted at the rate
 // of the highest rung that the session may have, so that a brand whose sessions were squeezed to the floor is not
-// taken for a small one. Of the
-// two things that run short, rate and places, the one of which a brand holds the larger part counts: dominant
-// resource fairness (Ghodsi and others, NSDI 2011).
+// taken for a small one. Of the two things that run short, rate and places, the one of which a brand
+// holds the larger part counts: dominant resource fairness (Ghodsi and others, NSDI 2011).
 
 // Room is what there is, or what is held, in a cell.
 type Room struct {
@@ -36,8 +35,8 @@
 // Fleet works out the room of each cell that is one director's part: of links, of what the racks' uplinks leave
 // them as far as set-ups may fill both, and of places.
 type Fleet struct {
-	Cfg      headmill.Config // as the module is told it
-	perPlace float64         // kB/s of link for each place, or each box, of the first list
+	Cfg  headmill.Config // as the module is told it
+	most float64         // places, or boxes, of the largest list so far: what Cfg.AllLinksKB stands for
 }
 
 // Rooms returns the room by cell; servers are those of the box list.
@@ -56,18 +55,17 @@
 		}
 		return 1
 	}
-	if f.perPlace == 0 {
-		all := 0.0
-		for i := range servers {
-			all += size(&servers[i])
-		}
-		f.perPlace = cfg.AllLinksKB / math.Max(all, 1)
+	all := 0.0
+	for i := range servers {
+		all += size(&servers[i])
 	}
+	f.most = math.Max(f.most, all) // the first list may lack most boxes, or all
+	perPlace := cfg.AllLinksKB / math.Max(f.most, 1)
 	links := make([]float64, len(servers))
 	racks := make([]float64, max(cfg.Racks, 1))
 	for i := range servers {
 		s := &servers[i]
-		if links[i] = size(s) * f.perPlace; cfg.WeightsKnown && cfg.LinkUnitKB > 0 {
+		if links[i] = size(s) * perPlace; cfg.WeightsKnown && cfg.LinkUnitKB > 0 {
 			links[i] = s.Weight * cfg.LinkUnitKB
 		}
 		if s.Health == headmill.Ready {
--- a/decide/limits/limits_test.go
+++ b/decide/limits/limits_test.go
@@ -223,6 +223,8 @@
 func TestFleetRooms(t *testing.T) {
 	f := Fleet{Cfg: headmill.Config{Cells: 2, Racks: 1, Fronts: 2, Places: []int{50}, AllLinksKB: 4000, UplinkKB: 2000}}
 	two := []headmill.Server{{ID: 1, Cell: 0}, {ID: 2, Cell: 1}}
+	f.Rooms(nil) // lists that come before the boxes have reported say nothing of their size
+	f.Rooms(two[:1])
 	for _, r := range f.Rooms(two) { // an uplink of 2,000 under two links of 2,000
 		if math.Abs(r.KB-1000*headmill.FillTo/2) > 1e-9 || r.Seats != 25 {
 			t.Errorf("%+v", r)
