--- a/cmd/headmill/main.go
+++ b/cmd/headmill/main.go
@@ -12,6 +12,7 @@
 
 var cli struct {
 	Serve    serveCmd    `cmd:"" help:"Run a director with the settings of FILE."`
+	Node     nodeCmd     `cmd:"" help:"Run a director on the users' platform; its settings come in PROXY_CONFIG."`
 	Check    checkCmd    `cmd:"" help:"Check a settings file; each fault is told with file, line and key."`
 	Token    tokenCmd    `cmd:"" help:"Make keys, make tokens, read tokens."`
 	Up       upCmd       `cmd:"" help:"Start a small fleet on loopback and stay until a signal."`
--- /dev/null
+++ b/cmd/headmill/node.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"headmill/internal/loop"
+	"headmill/internal/platform/node"
+)
+
+type nodeCmd struct {
+	Config string `env:"PROXY_CONFIG" required:"" help:"The platform's configuration of this director (JSON)."`
+	Log    string `default:"info" help:"Lowest level that is logged: debug, info, warn, error."`
+}
+
+// Run serves on the users' platform until it is told to stop and nothing plays any more.
+func (c *nodeCmd) Run() error {
+	cfg, err := node.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(c.Log)); err != nil {
+		return fmt.Errorf("--log: %q is not debug, info, warn or error", c.Log)
+	}
+	runtime.GOMAXPROCS(1) // a part of one core: further threads only wait for it
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(cfg.MemoryMB * 0.6 * (1 << 20))) // the rest is code, stacks and the kernel's part
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	l, err := loop.New()
+	if err != nil {
+		return err
+	}
+	n, err := node.New(cfg, l, log)
+	if err != nil {
+		return err
+	}
+	n.Done = l.Stop
+	sigs := make(chan os.Signal, 4)
+	signal.Notify(sigs, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	if err := n.Start(); err != nil {
+		return err
+	}
+	log.Info("serving", "director", cfg.Name, "addr", n.Addr())
+	go func() {
+		for s := range sigs {
+			if s != syscall.SIGHUP {
+				n.Stop()
+				continue
+			}
+			fresh, err := node.Load(c.Config)
+			if err != nil {
+				log.Error("configuration not read again; the old one stays", "error", err.Error())
+				continue
+			}
+			n.Reload(fresh)
+		}
+	}()
+	err = l.Run()
+	log.Info("stopped", "stats", fmt.Sprintf("%+v", n.Stats()))
+	return err
+}
--- a/decide/fleet/fleet.go
+++ b/decide/fleet/fleet.go
@@ -12,19 +12,25 @@
 	"net/netip"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"headmill"
 )
 
 // Entry is a box as the list service tells it.
 type Entry struct {
-	Addr   string  // IPv4:PORT of its set-up interface; its name
-	State  string  // ready, draining or gone
-	Boot   string  // changes with each start of the process
-	UpMs   float64 // since that start; 0: long ago
-	Cell   int
-	Kind   int
-	Zone   int
-	Weight float64
+	Name  string  // where it is given, it names the box, and an address may pass from one box to another
+	Addr  string  // IPv4:PORT of its set-up interface; its name, where it has no other
+	State string  // ready, draining or gone
+	Boot  string  // changes with each start of the process
+	UpMs  float64 // since that start; 0: long ago
+	// SinceMs is the time of that start where the service tells it instead of an age, on the clock of Take's now;
+	// it then names the boot. 0: long ago, or told as an age.
+	SinceMs float64
+	Cell    int
+	Kind    int
+	Zone    int
+	Weight  float64
 }
 
 // Message is one message of the list service. Versions rise by one within an epoch.
@@ -89,6 +95,17 @@
 	return Format(id)
 }
 
+// Name is the name of a listed box, its address where it has no other.
+func (l *List) Name(id headmill.ServerID) string {
+	if k := l.boxes[id]; k != nil && k.Entry.Name != "" {
+		return k.Entry.Name
+	}
+	return l.Addr(id)
+}
+
+// Has tells whether a box is listed and not gone.
+func (l *List) Has(id headmill.ServerID) bool { return l.boxes[id] != nil }
+
 // Cell is the cell that a box stands in, as last told; 0 for one that is not listed.
 func (l *List) Cell(id headmill.ServerID) int {
 	if k := l.boxes[id]; k != nil {
@@ -123,6 +140,9 @@
 		headmill.ServerID(a[3])<<24 | headmill.ServerID(ap.Port())<<32, nil
 }
 
+// Named makes a box's number from its name: the same at every director, whatever addresses they reach it at.
+func Named(name string) headmill.ServerID { return headmill.ServerID(xxhash.Sum64String(name) >> 16) }
+
 // Take judges a message at now (ms). If it is taken, ev is what the module is to be told; the caller owns it.
 func (l *List) Take(now float64, m *Message) (ev headmill.Event, v Verdict, err error) {
 	if l.some && m.Epoch == l.epoch {
@@ -178,6 +198,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if e.Name != "" {
+		id = Named(e.Name)
+	}
 	switch {
 	case e.State != "ready" && e.State != "draining" && e.State != "gone":
 		return nil, fmt.Errorf("box %s: state %q is not ready, draining or gone", e.Addr, e.State)
@@ -185,6 +208,8 @@
 		return nil, fmt.Errorf("box %s: cell %d of %d", e.Addr, e.Cell, l.cfg.Cells)
 	case e.Kind < 0 || l.cfg.Kinds > 0 && e.Kind >= l.cfg.Kinds:
 		return nil, fmt.Errorf("box %s: kind %d of %d", e.Addr, e.Kind, l.cfg.Kinds)
+	case !(e.SinceMs >= 0) || e.SinceMs > 1e15:
+		return nil, fmt.Errorf("box %s: started at %v ms", e.Addr, e.SinceMs)
 	case !(e.UpMs >= 0) || !(e.Weight >= 0) || e.UpMs > 1e15:
 		return nil, fmt.Errorf("box %s: age %v ms, weight %v", e.Addr, e.UpMs, e.Weight)
 	}
@@ -192,7 +217,9 @@
 	if e.UpMs > 0 {
 		k.since = max(now-e.UpMs, 0.001) // it started before this director's clock did: still not "long ago"
 	}
-	if old := l.boxes[id]; old != nil && old.Boot == e.Boot {
+	if e.SinceMs > 0 {
+		k.since = e.SinceMs
+	} else if old := l.boxes[id]; old != nil && old.Boot == e.Boot && old.SinceMs == 0 {
 		k.since = old.since
 	}
 	return k, nil
--- a/internal/director/list.go
+++ b/internal/director/list.go
@@ -124,7 +124,8 @@
 	}
 	msg := fleet.Message{Epoch: m.Epoch, Version: m.Version, Full: m.Full}
 	for _, e := range m.Servers {
-		msg.Entries = append(msg.Entries, fleet.Entry(e))
+		msg.Entries = append(msg.Entries, fleet.Entry{Addr: e.Addr, State: e.State, Boot: e.Boot, UpMs: e.UpMs,
+			Cell: e.Cell, Kind: e.Kind, Zone: e.Zone, Weight: e.Weight})
 	}
 	ev, verdict, err := d.fleet.Take(d.l.Now(), &msg)
 	switch verdict {
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -185,7 +185,7 @@
 // finish closes the writing side and hands the descriptor to the loop's lingerers. For the owner the connection is
 // closed.
 func (c *Conn) finish() {
-	if c.state != open || len(c.l.lingers) >= lingerMost || unix.Shutdown(c.fd, unix.SHUT_WR) != nil {
+	if c.state != open || len(c.l.lingers) >= c.l.lingerMost || unix.Shutdown(c.fd, unix.SHUT_WR) != nil {
 		c.Close(nil)
 		return
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -41,19 +41,21 @@
 
 // Loop is one epoll instance with its timers.
 type Loop struct {
-	ep, wake int
-	start    time.Time
-	now      float64
-	timers   timerHeap
-	seq      uint64
-	slots    map[int]*Conn
-	lists    map[int]*Listener
-	buf      []byte
-	events   []unix.EpollEvent
-	lingers  map[int]*linger
-	dead     []*Conn // closed in this round: told after the round's events
-	worst    float64
-	round    func()
+	ep, wake   int
+	start      time.Time
+	now        float64
+	timers     timerHeap
+	seq        uint64
+	slots      map[int]*Conn
+	lists      map[int]*Listener
+	packets    map[int]*Packet
+	buf        []byte
+	events     []unix.EpollEvent
+	lingers    map[int]*linger
+	lingerMost int
+	dead       []*Conn // closed in this round: told after the round's events
+	worst      float64
+	round      func()
 
 	mu     sync.Mutex
 	posted []func()
@@ -72,6 +74,7 @@
 		return nil, fmt.Errorf("loop: eventfd: %w", err)
 	}
 	l := &Loop{ep: ep, wake: wake, start: time.Now(), slots: map[int]*Conn{}, lists: map[int]*Listener{}, lingers: map[int]*linger{},
+		packets: map[int]*Packet{}, lingerMost: lingerMost,
 		buf: make([]byte, readSize), events: make([]unix.EpollEvent, waitBatch)}
 	if err := l.ctl(unix.EPOLL_CTL_ADD, wake, unix.EPOLLIN); err != nil {
 		return nil, err
@@ -123,6 +126,10 @@
 	unix.Write(l.wake, one[:]) // EAGAIN means that a wake-up is already due
 }
 
+// SetLingerMost bounds the closed connections whose peers are still read from; further ones are closed at once. For a
+// program with few descriptors.
+func (l *Loop) SetLingerMost(n int) { l.lingerMost = n }
+
 // OnRound sets the call at the end of each round, after its events and timers.
 func (l *Loop) OnRound(f func()) { l.round = f }
 
@@ -229,6 +236,8 @@
 		l.lists[fd].accept()
 	case l.slots[fd] != nil:
 		l.slots[fd].ready(events)
+	case l.packets[fd] != nil:
+		l.packets[fd].ready()
 	case l.lingers[fd] != nil:
 		l.drop(fd)
 	}
@@ -254,6 +263,9 @@
 		c.Close(ErrStopped)
 	}
 	l.bury()
+	for _, p := range l.packets {
+		p.Close()
+	}
 	for fd := range l.lingers {
 		l.letGo(fd)
 	}
--- /dev/null
+++ b/internal/platform/lines/lines.go
@@ -0,0 +1,403 @@
+// Package lines reads and writes the JSON lines between viewers and directors
+// of the users' platform: one object a line, with type, id, fields, and where
+// they apply a cause and a description. It is pure; it must not know sessions
+// or sockets.
+package lines
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+	"unicode/utf16"
+	"unicode/utf8"
+)
+
+// Max is the longest line with its line feed, bytes.
+const Max = 16 << 10
+
+const (
+	maxDepth  = 8  // of values that are skipped
+	maxFields = 32 // of an object of fields
+)
+
+// ErrSpoilt is wrapped by every error about a line that can't be read.
+var ErrSpoilt = errors.New("lines: line can't be read")
+
+// Field is one entry of the object of fields; a number is kept as its text.
+type Field struct{ Name, Value string }
+
+// Message is one line.
+type Message struct {
+	Type, ID string
+	Fields   []Field
+	Cause    int // -1 where there is none
+	SDP      string
+	HasSDP   bool
+}
+
+// Get is a field's value, and whether it is there.
+func (m *Message) Get(name string) (string, bool) {
+	for i := range m.Fields {
+		if m.Fields[i].Name == name {
+			return m.Fields[i].Value, true
+		}
+	}
+	return "", false
+}
+
+type parser struct {
+	b []byte
+	i int
+}
+
+func (p *parser) fail(what string) error {
+	return fmt.Errorf("%w: %s at byte %d", ErrSpoilt, what, p.i)
+}
+
+func (p *parser) space() {
+	for p.i < len(p.b) && (p.b[p.i] == ' ' || p.b[p.i] == '\t' || p.b[p.i] == '\r' || p.b[p.i] == '\n') {
+		p.i++
+	}
+}
+
+func (p *parser) peek() byte {
+	p.space()
+	if p.i < len(p.b) {
+		return p.b[p.i]
+	}
+	return 0
+}
+
+func (p *parser) take(c byte) bool {
+	if p.peek() != c {
+		return false
+	}
+	p.i++
+	return true
+}
+
+// object calls f at the value of each member.
+func (p *parser) object(f func(name string) error) error {
+	if !p.take('{') {
+		return p.fail("no object")
+	}
+	if p.take('}') {
+		return nil
+	}
+	for {
+		if p.peek() != '"' {
+			return p.fail("no member's name")
+		}
+		name, err := p.string()
+		if err != nil {
+			return err
+		}
+		if !p.take(':') {
+			return p.fail("no colon")
+		}
+		p.space()
+		if err := f(name); err != nil {
+			return err
+		}
+		if p.take('}') {
+			return nil
+		}
+		if !p.take(',') {
+			return p.fail("no comma")
+		}
+	}
+}
+
+func (p *parser) string() (string, error) {
+	if !p.take('"') {
+		return "", p.fail("no string")
+	}
+	end := bytes.IndexAny(p.b[p.i:], "\"\\")
+	if end >= 0 && p.b[p.i+end] == '"' { // the usual case: nothing escaped
+		s := p.b[p.i : p.i+end]
+		p.i += end + 1
+		return p.checked(s)
+	}
+	var out []byte
+	for p.i < len(p.b) {
+		c := p.b[p.i]
+		p.i++
+		switch {
+		case c == '"':
+			return p.checked(out)
+		case c != '\\':
+			out = append(out, c)
+			continue
+		case p.i >= len(p.b):
+			return "", p.fail("string without end")
+		}
+		c = p.b[p.i]
+		p.i++
+		switch c {
+		case '"', '\\', '/':
+			out = append(out, c)
+		case 'b':
+			out = append(out, '\b')
+		case 'f':
+			out = append(out, '\f')
+		case 'n':
+			out = append(out, '\n')
+		case 'r':
+			out = append(out, '\r')
+		case 't':
+			out = append(out, '\t')
+		case 'u':
+			r, err := p.hex4()
+			if err != nil {
+				return "", err
+			}
+			if utf16.IsSurrogate(r) {
+				if p.i+1 >= len(p.b) || p.b[p.i] != '\\' || p.b[p.i+1] != 'u' {
+					return "", p.fail("half a surrogate pair")
+				}
+				p.i += 2
+				low, err := p.hex4()
+				if err != nil {
+					return "", err
+				}
+				if r = utf16.DecodeRune(r, low); r == utf8.RuneError {
+					return "", p.fail("no surrogate pair")
+				}
+			}
+			out = utf8.AppendRune(out, r)
+		default:
+			return "", p.fail("unknown escape")
+		}
+	}
+	return "", p.fail("string without end")
+}
+
+// checked turns down what no JSON string may hold unescaped and what is not UTF-8. Escaped controls are fine, so out
+// of an escaped string only the raw ones matter; those can't be told apart any more and are the line's own end.
+func (p *parser) checked(s []byte) (string, error) {
+	if !utf8.Valid(s) {
+		return "", p.fail("string that is not UTF-8")
+	}
+	return string(s), nil
+}
+
+func (p *parser) hex4() (rune, error) {
+	if p.i+4 > len(p.b) {
+		return 0, p.fail("short escape")
+	}
+	v, err := strconv.ParseUint(string(p.b[p.i:p.i+4]), 16, 16)
+	if err != nil {
+		return 0, p.fail("escape that is not hexadecimal")
+	}
+	p.i += 4
+	return rune(v), nil
+}
+
+// number returns the text of a number in JSON's form.
+func (p *parser) number() (string, error) {
+	from := p.i
+	for p.i < len(p.b) && bytes.IndexByte([]byte("+-0123456789.eE"), p.b[p.i]) >= 0 {
+		p.i++
+	}
+	text := string(p.b[from:p.i])
+	if _, err := strconv.ParseFloat(text, 64); err != nil || text[0] == '+' || text[0] == '.' {
+		return "", p.fail("no number")
+	}
+	return text, nil
+}
+
+func (p *parser) skip(depth int) error {
+	if depth > maxDepth {
+		return p.fail("nested too deep")
+	}
+	switch c := p.peek(); {
+	case c == '"':
+		_, err := p.string()
+		return err
+	case c == '{':
+		return p.object(func(string) error { return p.skip(depth + 1) })
+	case c == '[':
+		p.i++
+		if p.take(']') {
+			return nil
+		}
+		for {
+			if err := p.skip(depth + 1); err != nil {
+				return err
+			}
+			if p.take(']') {
+				return nil
+			}
+			if !p.take(',') {
+				return p.fail("no comma")
+			}
+		}
+	case c == '-' || c >= '0' && c <= '9':
+		_, err := p.number()
+		return err
+	}
+	for _, word := range []string{"true", "false", "null"} {
+		if bytes.HasPrefix(p.b[p.i:], []byte(word)) {
+			p.i += len(word)
+			return nil
+		}
+	}
+	return p.fail("no value")
+}
+
+// Parse reads one line, with or without its line feed. Members that are not known are passed over; a known one of the
+// wrong kind, or one that comes twice, makes the line unreadable. On an error m holds what was read before it.
+func Parse(line []byte, m *Message) error {
+	*m = Message{Fields: m.Fields[:0], Cause: -1}
+	p := &parser{b: line}
+	var seen [5]bool
+	once := func(i int, name string) error {
+		if seen[i] {
+			return p.fail("second " + name)
+		}
+		seen[i] = true
+		return nil
+	}
+	err := p.object(func(name string) (err error) {
+		switch name {
+		case "type":
+			if err = once(0, name); err == nil {
+				m.Type, err = p.string()
+			}
+		case "id":
+			if err = once(1, name); err == nil {
+				m.ID, err = p.string()
+			}
+		case "sdp":
+			if err = once(2, name); err == nil {
+				m.SDP, err = p.string()
+				m.HasSDP = err == nil
+			}
+		case "cause":
+			if err = once(3, name); err != nil {
+				return err
+			}
+			var text string
+			if text, err = p.number(); err != nil {
+				return err
+			}
+			if m.Cause, err = strconv.Atoi(text); err != nil || m.Cause < 0 || m.Cause > 255 {
+				m.Cause, err = -1, p.fail("cause that is no byte")
+			}
+		case "fields":
+			if err = once(4, name); err == nil {
+				err = p.object(func(name string) error { return p.field(m, name) })
+			}
+		default:
+			err = p.skip(1)
+		}
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	if p.peek() != 0 || p.i < len(p.b) {
+		return p.fail("more after the object")
+	}
+	if m.Type == "" {
+		return p.fail("no type")
+	}
+	return nil
+}
+
+func (p *parser) field(m *Message, name string) error {
+	if _, twice := m.Get(name); twice || len(m.Fields) == maxFields {
+		return p.fail("field " + name + " twice, or too many fields")
+	}
+	var v string
+	var err error
+	if p.peek() == '"' {
+		v, err = p.string()
+	} else {
+		v, err = p.number()
+	}
+	if err == nil {
+		m.Fields = append(m.Fields, Field{name, v})
+	}
+	return err
+}
+
+// ID reads a session's 16 hex digits, in lower case as they are written.
+func ID(s string) (uint64, bool) {
+	if len(s) != 16 {
+		return 0, false
+	}
+	var v uint64
+	for i := range len(s) {
+		switch c := s[i]; {
+		case c >= '0' && c <= '9':
+			v = v<<4 | uint64(c-'0')
+		case c >= 'a' && c <= 'f':
+			v = v<<4 | uint64(c-'a'+10)
+		default:
+			return 0, false
+		}
+	}
+	return v, true
+}
+
+// AppendID appends a session's 16 hex digits.
+func AppendID(out []byte, id uint64) []byte {
+	const digits = "0123456789abcdef"
+	for shift := 60; shift >= 0; shift -= 4 {
+		out = append(out, digits[id>>shift&15])
+	}
+	return out
+}
+
+func begin(out []byte, kind string, id uint64) []byte {
+	out = append(append(append(out, `{"type":"`...), kind...), `","id":"`...)
+	return append(AppendID(out, id), `","fields":{`...)
+}
+
+// AppendAnswer appends an answer with its description.
+func AppendAnswer(out []byte, id uint64, sdp []byte) []byte {
+	out = append(begin(out, "answer", id), `},"sdp":`...)
+	return append(appendString(out, sdp), '}', '\n')
+}
+
+// AppendRelease appends a release; a wait (ms) over 0 is given as advice.
+func AppendRelease(out []byte, id uint64, cause int, waitMs float64) []byte {
+	out = begin(out, "release", id)
+	if waitMs > 0 {
+		out = append(strconv.AppendInt(append(out, `"wait":"`...), int64(waitMs+0.5), 10), '"')
+	}
+	return append(strconv.AppendInt(append(out, `},"cause":`...), int64(cause), 10), '}', '\n')
+}
+
+// AppendReleased appends the word that a release was heard.
+func AppendReleased(out []byte, id uint64) []byte {
+	return append(begin(out, "released", id), '}', '}', '\n')
+}
+
+// AppendPong appends a test's result; the id is echoed as it came.
+func AppendPong(out []byte, id string, cause int) []byte {
+	out = appendString(append(out, `{"type":"pong","id":`...), []byte(id))
+	return append(strconv.AppendInt(append(out, `,"fields":{},"cause":`...), int64(cause), 10), '}', '\n')
+}
+
+func appendString(out, s []byte) []byte {
+	const digits = "0123456789abcdef"
+	out = append(out, '"')
+	for _, c := range s {
+		switch {
+		case c == '"' || c == '\\':
+			out = append(out, '\\', c)
+		case c == '\n':
+			out = append(out, '\\', 'n')
+		case c == '\r':
+			out = append(out, '\\', 'r')
+		case c < 0x20:
+			out = append(out, '\\', 'u', '0', '0', digits[c>>4], digits[c&15])
+		default:
+			out = append(out, c)
+		}
+	}
+	return append(out, '"')
+}
--- /dev/null
+++ b/internal/platform/names/names.go
@@ -0,0 +1,215 @@
+// Package names reads what the name service of the users' platform says of
+// media nodes: DNS answers and the list in a director's configuration. It is
+// pure and only translates; which list counts is decided in decide/fleet.
+package names
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+
+	"golang.org/x/net/dns/dnsmessage"
+
+	"headmill/decide/fleet"
+)
+
+// ErrAnswer is wrapped by every error about an answer that can't be used; the list stays as it was.
+var ErrAnswer = errors.New("names: answer can't be used")
+
+// Words are the names of zones and kinds in the order of the settings.
+type Words struct{ Zones, Kinds []string }
+
+func place(list []string, name, what string) (int, error) {
+	for i, s := range list {
+		if s == name {
+			return i, nil
+		}
+	}
+	return 0, fmt.Errorf("names: %s %q is not in the settings", what, name)
+}
+
+// states are the platform's words for what decide/fleet knows.
+var states = map[string]string{"in_service": "ready", "terminating": "draining", "terminated": "gone"}
+
+type host struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	BornMs float64 `json:"born_ms"`
+}
+
+// Known is the list of the start, as the configuration holds it.
+type Known struct {
+	No    uint64 `json:"no"`
+	Items []struct {
+		No     uint64 `json:"no"`
+		Roster *struct {
+			Whole bool   `json:"whole"`
+			Hosts []host `json:"hosts"`
+		} `json:"roster"`
+	} `json:"items"`
+}
+
+// Message joins the events of the start into one whole list.
+func (k *Known) Message(w Words) (fleet.Message, error) {
+	m := fleet.Message{Version: k.No, Full: true}
+	at := map[string]int{}
+	for _, item := range k.Items {
+		if item.Roster == nil {
+			continue // an event about something else
+		}
+		if item.Roster.Whole {
+			m.Entries = m.Entries[:0]
+			clear(at)
+		}
+		for _, h := range item.Roster.Hosts {
+			e, err := h.entry(w)
+			if err != nil {
+				return m, fmt.Errorf("known, event %d: %w", item.No, err)
+			}
+			if i, ok := at[h.Host]; ok {
+				m.Entries[i] = e
+				continue
+			}
+			at[h.Host] = len(m.Entries)
+			m.Entries = append(m.Entries, e)
+		}
+	}
+	return m, nil
+}
+
+// ParseKnown reads the list of the start.
+func ParseKnown(text []byte) (k Known, err error) {
+	if err = json.Unmarshal(text, &k); err != nil {
+		err = fmt.Errorf("names: known: %w", err)
+	}
+	return k, err
+}
+
+func (h *host) entry(w Words) (fleet.Entry, error) {
+	e := fleet.Entry{Name: h.Host, Addr: h.Dial, State: states[h.Health], SinceMs: h.BornMs, Cell: h.Block, Weight: h.Share}
+	var err error
+	if e.State == "" {
+		return e, fmt.Errorf("names: host %s: state %q is not known", h.Host, h.Health)
+	}
+	if e.Zone, err = place(w.Zones, h.Site, "site"); err != nil {
+		return e, err
+	}
+	e.Kind, err = place(w.Kinds, h.Class, "class")
+	return e, err
+}
+
+// Query is the question for the whole list.
+func Query(id uint16, service string) ([]byte, error) {
+	name, err := dnsmessage.NewName(service)
+	if err != nil {
+		return nil, fmt.Errorf("names: %q: %w", service, err)
+	}
+	m := dnsmessage.Message{Header: dnsmessage.Header{ID: id, RecursionDesired: true},
+		Questions: []dnsmessage.Question{{Name: name, Type: dnsmessage.TypeSRV, Class: dnsmessage.ClassINET}}}
+	return m.Pack()
+}
+
+func unusable(format string, a ...any) error {
+	return fmt.Errorf("%w: %s", ErrAnswer, fmt.Sprintf(format, a...))
+}
+
+// ID is the number of the query that a datagram answers.
+func ID(b []byte) (uint16, bool) {
+	var p dnsmessage.Parser
+	h, err := p.Start(b)
+	return h.ID, err == nil && h.Response
+}
+
+type node struct {
+	addr netip.Addr
+	text []string
+}
+
+// Answer reads a whole list out of a datagram. An answer that was cut short, reports a failure or lacks a record that
+// the list needs is an error as a whole: half a list would look like media nodes that are gone.
+func Answer(b []byte, w Words) (m fleet.Message, err error) {
+	var d dnsmessage.Message
+	if err := d.Unpack(b); err != nil {
+		return m, unusable("%v", err)
+	}
+	if d.RCode != dnsmessage.RCodeSuccess || d.Truncated {
+		return m, unusable("code %v, cut short %v", d.RCode, d.Truncated)
+	}
+	var srv []*dnsmessage.SRVResource
+	nodes, serial, some := map[string]*node{}, uint64(0), false
+	for _, part := range [][]dnsmessage.Resource{d.Answers, d.Authorities, d.Additionals} {
+		for i := range part {
+			name := strings.ToLower(part[i].Header.Name.String())
+			n := nodes[name]
+			if n == nil {
+				n = &node{}
+				nodes[name] = n
+			}
+			switch r := part[i].Body.(type) {
+			case *dnsmessage.SRVResource:
+				srv = append(srv, r)
+			case *dnsmessage.AResource:
+				n.addr = netip.AddrFrom4(r.A)
+			case *dnsmessage.TXTResource:
+				n.text = r.TXT
+			case *dnsmessage.SOAResource:
+				serial, some = uint64(r.Serial), true
+			}
+		}
+	}
+	if !some || len(srv) == 0 {
+		return m, unusable("%d hosts, serial there: %v", len(srv), some)
+	}
+	m = fleet.Message{Version: serial, Full: true}
+	for _, r := range srv {
+		target := strings.ToLower(r.Target.String())
+		n := nodes[target]
+		if n == nil || !n.addr.IsValid() || n.text == nil {
+			return m, unusable("host %s lacks its address or its text", target)
+		}
+		label := strings.Split(target, ".")
+		if len(label) < 2 {
+			return m, unusable("host %s names no zone", target)
+		}
+		e := fleet.Entry{Name: label[0], Addr: netip.AddrPortFrom(n.addr, r.Port).String(), State: "ready",
+			Weight: float64(r.Weight) / 10}
+		if r.Priority != 0 {
+			e.State = "draining"
+		}
+		if e.Zone, err = place(w.Zones, label[1], "zone"); err != nil {
+			return m, unusable("%v", err)
+		}
+		if err = read(&e, n.text, w); err != nil {
+			return m, unusable("host %s: %v", target, err)
+		}
+		m.Entries = append(m.Entries, e)
+	}
+	return m, nil
+}
+
+// read takes kind, cell and start out of a host's text.
+func read(e *fleet.Entry, text []string, w Words) (err error) {
+	for _, word := range text {
+		name, value, _ := strings.Cut(word, "=")
+		switch name {
+		case "kind":
+			e.Kind, err = place(w.Kinds, value, "kind")
+		case "cell":
+			e.Cell, err = strconv.Atoi(value)
+		case "started":
+			e.SinceMs, err = strconv.ParseFloat(value, 64)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/node/config.go
@@ -0,0 +1,186 @@
+package node
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math"
+	"os"
+	"strconv"
+	"strings"
+
+	"headmill"
+	"headmill/internal/platform/names"
+	"headmill/internal/wire"
+)
+
+// Config is what the platform tells a director in the file that PROXY_CONFIG names.
+type Config struct {
+	Name, Listen, DNS string
+	Seed              uint64
+	Sockets           int     // descriptors that the process may hold
+	MemoryMB          float64 // over which it is killed
+	Cores             float64
+	Known             names.Known
+	Module            headmill.Config
+	Fields            []string // of a load report, in the order of the settings
+	Words             names.Words
+	Classes, Tenants  map[string]int
+	DeadlineMs        []float64 // longest wait of each class
+	ConnectMs         float64   // for a connection to a media node
+	IdleMs            float64   // after which idle connections are closed
+	SlackMs           float64   // after a viewer's deadline in which an answer still counts
+}
+
+type file struct {
+	Name   string `json:"name"`
+	Listen string `json:"listen"`
+	Seed   string `json:"seed"`
+	Limits struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	DNS      string          `json:"dns"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// Load reads and checks a configuration file.
+func Load(path string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("node: configuration: %w", err)
+	}
+	c, err := Parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+// Parse reads and checks a configuration.
+func Parse(text []byte) (*Config, error) {
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c := &Config{Name: f.Name, Listen: f.Listen, DNS: f.DNS, Sockets: f.Limits.Sockets, MemoryMB: f.Limits.MemoryMB,
+		Cores: f.Limits.Cores, Classes: map[string]int{}, Tenants: map[string]int{}}
+	var err error
+	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %q is not hexadecimal", f.Seed)
+	}
+	if c.Listen == "" || c.DNS == "" {
+		return nil, fmt.Errorf("listen is %q and dns %q: both are needed", c.Listen, c.DNS)
+	}
+	if c.Known, err = names.ParseKnown(f.Known); err != nil {
+		return nil, err
+	}
+	kv, err := Flatten(f.Settings)
+	if err != nil {
+		return nil, err
+	}
+	s, err := wire.ReadSettings(kv)
+	if err != nil {
+		return nil, err
+	}
+	c.Module, c.Fields = s.Config, s.Fields
+	c.Words = names.Words{Zones: split(kv["dcs"]), Kinds: split(kv["skus"])}
+	if err := c.list(kv, "categories", func(i int, p string) error {
+		c.Classes[kv[p+"name"]] = i
+		ms, err := strconv.ParseFloat(kv[p+"give_up_ms"], 64)
+		if err != nil || !(ms > 0) {
+			return fmt.Errorf("settings.%sgive_up_ms is %q", p, kv[p+"give_up_ms"])
+		}
+		c.DeadlineMs = append(c.DeadlineMs, ms)
+		return nil
+	}); err != nil {
+		return nil, err
+	}
+	if err := c.list(kv, "tenants", func(i int, p string) error { c.Tenants[kv[p+"name"]] = i; return nil }); err != nil {
+		return nil, err
+	}
+	for _, t := range []struct {
+		key string
+		to  *float64
+		def float64 // where the platform states none
+	}{{"allowed.connect_timeout_ms", &c.ConnectMs, 250}, {"allowed.keepalive_ms", &c.IdleMs, 15000},
+		{"safety.answer_slack_ms", &c.SlackMs, 0}} {
+		*t.to = t.def
+		if v, ok := kv[t.key]; ok {
+			if *t.to, err = strconv.ParseFloat(v, 64); err != nil || !(*t.to >= 0) || math.IsInf(*t.to, 0) {
+				return nil, fmt.Errorf("settings.%s is %q", t.key, v)
+			}
+		}
+	}
+	if c.Sockets <= 0 {
+		c.Sockets = 1024
+	}
+	if c.Sockets < 64 {
+		return nil, fmt.Errorf("limits.sockets is %d; at least 64 are needed", c.Sockets)
+	}
+	return c, nil
+}
+
+func (c *Config) list(kv map[string]string, key string, f func(i int, prefix string) error) error {
+	n, _ := strconv.Atoi(kv[key+".count"])
+	for i := range n {
+		if err := f(i, fmt.Sprintf("%s.%d.", key, i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func split(s string) []string {
+	if s == "" {
+		return nil
+	}
+	return strings.Split(s, ",")
+}
+
+// Flatten turns nested settings into the paths of the simulator's first message: a list of plain values is joined with
+// commas, a list of objects has its length under .count and its items under .0, .1 and so on.
+func Flatten(text []byte) (map[string]string, error) {
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.UseNumber()
+	var v any
+	if err := d.Decode(&v); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	kv := map[string]string{}
+	flatten(kv, "", v)
+	return kv, nil
+}
+
+func flatten(kv map[string]string, path string, v any) {
+	switch v := v.(type) {
+	case map[string]any:
+		for name, x := range v {
+			if path != "" {
+				name = path + "." + name
+			}
+			flatten(kv, name, x)
+		}
+	case []any:
+		var plain []string
+		objects := false
+		for i, x := range v {
+			if _, ok := x.(map[string]any); ok {
+				objects = true
+				flatten(kv, fmt.Sprintf("%s.%d", path, i), x)
+				continue
+			}
+			plain = append(plain, fmt.Sprint(x))
+		}
+		if objects {
+			kv[path+".count"] = strconv.Itoa(len(v))
+		} else {
+			kv[path] = strings.Join(plain, ",")
+		}
+	case nil:
+	default:
+		kv[path] = fmt.Sprint(v)
+	}
+}
--- /dev/null
+++ b/internal/platform/node/feed.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"fmt"
+
+	"headmill/internal/loop"
+	"headmill/internal/platform/names"
+)
+
+const (
+	service  = "_api._tcp.svc.local."
+	askMs    = 200.0 // between questions: a drain must be known well within its grace
+	openAsks = 16    // questions whose answers are still awaited
+)
+
+// feed asks the name service for the whole list, again and again.
+type feed struct {
+	n     *Node
+	sock  *loop.Packet
+	addr  string
+	timer *loop.Timer
+	last  uint16
+	asked uint64 // questions so far
+	heard uint64 // answers that could be used
+	bad   uint64
+}
+
+// open asks at an address from now on.
+func (f *feed) open(addr string) error {
+	sock, err := f.n.l.Packet(addr, f.take)
+	if err != nil {
+		return fmt.Errorf("node: name service: %w", err)
+	}
+	if f.sock != nil {
+		f.sock.Close()
+	}
+	f.sock, f.addr = sock, addr
+	f.n.l.Cancel(f.timer)
+	f.ask()
+	return nil
+}
+
+func (f *feed) ask() {
+	f.timer = f.n.l.After(askMs, f.ask)
+	f.last++
+	f.asked++
+	if q, err := names.Query(f.last, service); err == nil {
+		f.sock.Send(q)
+	}
+}
+
+// take reads one datagram. What can't be used leaves the list as it is: the next question is due soon.
+func (f *feed) take(b []byte) {
+	id, ok := names.ID(b)
+	if !ok || f.last-id >= openAsks {
+		f.bad++
+		return
+	}
+	m, err := names.Answer(b, f.n.cfg.Words)
+	if err == nil {
+		if m.Version <= f.n.list.Version() {
+			f.heard++
+			return // known, or older than what is known
+		}
+		err = f.n.take(&m)
+	}
+	if err != nil {
+		f.bad++
+		f.n.log.Debug("name service's answer can't be used", "error", err.Error())
+		return
+	}
+	f.heard++
+}
--- /dev/null
+++ b/internal/platform/node/front.go
@@ -0,0 +1,275 @@
+package node
+
+import (
+	"bytes"
+	"errors"
+	"math"
+	"strconv"
+	"strings"
+
+	"headmill/internal/loop"
+	"headmill/internal/platform/lines"
+)
+
+const (
+	silentMs  = 2000.0   // for which a connection may stand without a set-up, or a line without its end
+	restMs    = 10000.0  // for which one may rest that carries nothing
+	viewerOut = 64 << 10 // bytes that may wait for a viewer that does not read
+)
+
+// viewer is one connection from viewers.
+type viewer struct {
+	n       *Node
+	c       *loop.Conn
+	buf     []byte
+	open    map[*session]struct{} // set-ups
+	stands  int                   // sessions set up here that stand
+	opened  float64
+	heard   float64
+	began   float64 // of a line that is not whole yet
+	asked   bool    // a set-up that could be read has come
+	trusted bool    // a session has stood here
+}
+
+// accept takes a connection. At the bound the one goes that earns least: silent, or at rest for longest.
+func (n *Node) accept(c *loop.Conn) loop.Handler {
+	if len(n.viewers) >= n.cfg.Sockets/2 {
+		var worst *viewer
+		for v := range n.viewers {
+			if len(v.open) == 0 && (worst == nil || v.rank() < worst.rank()) {
+				worst = v
+			}
+		}
+		if worst == nil {
+			return nil
+		}
+		worst.c.Close(loop.ErrIdle)
+		delete(n.viewers, worst)
+	}
+	now := n.l.Now()
+	v := &viewer{n: n, c: c, open: map[*session]struct{}{}, opened: now, heard: now}
+	c.SetLimit(viewerOut)
+	n.viewers[v] = struct{}{}
+	return v
+}
+
+// rank orders connections by what is lost with them: silent ones first, then by how long nothing was heard.
+func (v *viewer) rank() float64 {
+	r := v.heard
+	if v.asked {
+		r += 1e9
+	}
+	if v.stands > 0 {
+		r += 1e9
+	}
+	return r
+}
+
+// Connected is never called: viewers dial.
+func (v *viewer) Connected(*loop.Conn) {}
+
+// Drained wants nothing.
+func (v *viewer) Drained(*loop.Conn) {}
+
+// Closed gives up the set-ups that were open. Sessions that stand belong to no connection.
+func (v *viewer) Closed(*loop.Conn, error) {
+	delete(v.n.viewers, v)
+	for s := range v.open {
+		v.n.left(s)
+	}
+	for _, s := range v.n.sessions {
+		if s.front == v {
+			s.front = nil
+		}
+	}
+}
+
+// Data cuts lines.
+func (v *viewer) Data(c *loop.Conn, b []byte) {
+	v.heard = v.n.l.Now()
+	for len(b) > 0 && c.Open() {
+		i := bytes.IndexByte(b, '\n')
+		if len(v.buf)+len(b) > lines.Max && (i < 0 || len(v.buf)+i > lines.Max) {
+			v.bad(errors.New("line over 16 KiB"))
+			return
+		}
+		if i < 0 {
+			if len(v.buf) == 0 {
+				v.began = v.heard
+			}
+			v.buf = append(v.buf, b...)
+			return
+		}
+		line := b[:i]
+		if len(v.buf) > 0 {
+			line = append(v.buf, line...)
+			v.buf = nil
+		}
+		b = b[i+1:]
+		v.line(line)
+	}
+}
+
+// bad ends a connection whose peer sends what can't be read: where the next message begins is not known.
+func (v *viewer) bad(err error) {
+	v.n.stats.Bad++
+	v.n.log.Debug("viewer's line can't be read", "error", err.Error())
+	v.buf = nil
+	v.c.End()
+}
+
+func (v *viewer) line(line []byte) {
+	n, m := v.n, &v.n.msg
+	if len(bytes.TrimSpace(line)) == 0 {
+		return
+	}
+	if err := lines.Parse(line, m); err != nil {
+		v.bad(err)
+		return
+	}
+	if m.Type == "ping" {
+		v.c.Write(lines.AppendPong(n.out[:0], m.ID, 1))
+		return
+	}
+	id, ok := lines.ID(m.ID)
+	if !ok {
+		v.bad(errors.New("id is not 16 hex digits"))
+		return
+	}
+	switch m.Type {
+	case "setup":
+		v.setup(id, m)
+	case "release":
+		if s := n.sessions[id]; s != nil {
+			n.left(s)
+		}
+		v.c.Write(lines.AppendReleased(n.out[:0], id))
+	case "released", "progress", "pong", "note":
+	default:
+		v.bad(errors.New("type " + m.Type))
+	}
+}
+
+// request is a set-up's figures, checked.
+type request struct {
+	class, home, copies, top  int
+	className, title, sdp, at string
+	key                       uint64
+	left                      float64
+}
+
+func (v *viewer) setup(id uint64, m *lines.Message) {
+	n := v.n
+	v.asked = true
+	if s := n.sessions[id]; s != nil {
+		if at, _ := extra(m, "at"); at != "" && s.state != asked {
+			return // what this director holds already
+		}
+		// An id that is in use: which of the two is meant can't be told, so neither goes on, and there is one answer.
+		n.stats.Bad++
+		if s.state == asked {
+			t := s.front
+			n.left(s)
+			if t != nil {
+				t.answer(lines.AppendRelease(n.out[:0], id, causeInvalid, 0))
+			}
+			if t == v {
+				return
+			}
+		} else {
+			n.left(s)
+		}
+		v.answer(lines.AppendRelease(n.out[:0], id, causeInvalid, 0))
+		return
+	}
+	r, cause := n.read(m)
+	if cause != 0 {
+		n.stats.Bad++
+		v.answer(lines.AppendRelease(n.out[:0], id, cause, 0))
+		return
+	}
+	if len(n.owed) > 0 && v.trusted {
+		n.payUp(v)
+	}
+	n.request(v, id, &r)
+}
+
+func extra(m *lines.Message, name string) (string, bool) {
+	text, _ := m.Get("extras")
+	for text != "" {
+		word, rest, _ := strings.Cut(text, ";")
+		if k, value, ok := strings.Cut(word, ":"); ok && k == name {
+			return value, true
+		}
+		text = rest
+	}
+	return "", false
+}
+
+// read checks a set-up's fields. A cause other than 0 tells why it can't be used.
+func (n *Node) read(m *lines.Message) (r request, cause int) {
+	className, ok1 := m.Get("class")
+	left, ok2 := m.Get("left")
+	title, ok3 := m.Get("key")
+	if !ok1 || !ok2 || !ok3 || !m.HasSDP || m.SDP == "" {
+		return r, causeMissing
+	}
+	var ok bool
+	if r.class, ok = n.cfg.Classes[className]; !ok {
+		return r, causeInvalid
+	}
+	if tenant, given := m.Get("tenant"); given || len(n.cfg.Tenants) > 0 {
+		if _, ok := n.cfg.Tenants[tenant]; !ok {
+			return r, causeInvalid
+		}
+	}
+	var err error
+	if r.left, err = strconv.ParseFloat(left, 64); err != nil || !(r.left > 0) || r.left > 2*n.cfg.DeadlineMs[r.class] {
+		return r, causeInvalid
+	}
+	if r.key, ok = lines.ID(title); !ok {
+		return r, causeInvalid
+	}
+	for _, f := range []struct {
+		name     string
+		to       *int
+		min, max int
+	}{{"home", &r.home, 0, n.cfg.Module.Cells - 1}, {"copies", &r.copies, 1, 1 << 16}, {"top", &r.top, 0, 255}} {
+		text, ok := extra(m, f.name)
+		if !ok {
+			return r, causeMissing
+		}
+		v, err := strconv.ParseFloat(text, 64)
+		if err != nil || v != math.Trunc(v) || v < float64(f.min) || v > float64(f.max) {
+			return r, causeInvalid
+		}
+		*f.to = int(v)
+	}
+	r.at, _ = extra(m, "at")
+	r.className, r.title, r.sdp = className, title, m.SDP
+	return r, 0
+}
+
+// answer writes what a set-up here was owed.
+func (v *viewer) answer(b []byte) { v.c.Write(b) }
+
+// keep notes that a session of this connection stands.
+func (v *viewer) keep(s *session) {
+	delete(v.open, s)
+	v.stands++
+	if !v.trusted {
+		v.trusted = true
+		v.n.payUp(v)
+	}
+}
+
+// sweep closes what stays silent, and what rests without a session.
+func (v *viewer) sweep(now float64) {
+	switch {
+	case !v.asked && now-v.opened > silentMs, len(v.buf) > 0 && now-v.began > silentMs:
+		v.n.stats.Bad++
+		v.c.End()
+	case v.asked && len(v.open) == 0 && now-v.heard > restMs:
+		v.c.End()
+	}
+}
--- /dev/null
+++ b/internal/platform/node/media.go
@@ -0,0 +1,455 @@
+package node
+
+import (
+	"errors"
+	"math"
+	"strconv"
+
+	"headmill"
+	"headmill/decide/attempt"
+	"headmill/decide/boxes"
+	"headmill/internal/loop"
+	"headmill/internal/platform/frame"
+)
+
+const (
+	perBox    = 8        // connections to one media node at most
+	partialMs = 300.0    // for which the rest of a message may be awaited
+	boxOut    = 64 << 10 // bytes that may wait for a media node
+	queueMost = 256      // messages kept for a media node that is being reached
+)
+
+var errGone = errors.New("node: attempt's connection was closed")
+
+// box is what the director keeps of a media node.
+type box struct {
+	n        *Node
+	id       headmill.ServerID
+	name     string
+	addr     string
+	links    []*link
+	standing map[uint64]*session
+	queue    [][]byte // messages on sessions, until a connection stands
+	wanted   bool     // decide/boxes wants a connection kept
+	used     float64
+}
+
+// link is one connection to a media node.
+type link struct {
+	b       *box
+	c       *loop.Conn
+	up      bool
+	r       frame.Reader
+	tries   map[uint64]*try
+	opened  float64
+	partial float64 // since when a message waits for its rest
+	timer   *loop.Timer
+	why     error
+}
+
+// try is one attempt, from the module's word to its outcome.
+type try struct {
+	n     *Node
+	s     *session
+	b     *box
+	k     *link
+	a     attempt.Attempt
+	began float64
+	until float64
+	base  int64 // bytes that the connection had to write before this set-up
+	wrote bool
+	moot  bool
+	load  headmill.Report
+	timer *loop.Timer
+}
+
+func (n *Node) box(id headmill.ServerID) *box {
+	b := n.boxes[id]
+	if b == nil {
+		b = &box{n: n, id: id, standing: map[uint64]*session{}}
+		b.name, b.addr = n.list.Name(id), n.list.Addr(id)
+		n.boxes[id] = b
+	}
+	b.used = n.l.Now()
+	return b
+}
+
+// ---- connections ----
+
+func (b *box) dial() *link {
+	if len(b.links) >= perBox || b.n.links >= b.n.cfg.Sockets/3 {
+		return nil
+	}
+	k := &link{b: b, tries: map[uint64]*try{}, opened: b.n.l.Now()}
+	c, err := b.n.l.Dial(b.addr, k)
+	if err != nil {
+		b.n.log.Error("media node can't be dialled", "host", b.name, "error", err.Error())
+		return nil
+	}
+	k.c = c
+	c.SetLimit(boxOut)
+	b.links = append(b.links, k)
+	b.n.links++
+	k.timer = b.n.l.After(b.n.cfg.ConnectMs, func() { c.Close(loop.ErrConnect) })
+	return k
+}
+
+// spare finds a connection for a set-up: one that carries none, so that an answer that can't be read takes no other
+// set-up with it.
+func (b *box) spare() *link {
+	for _, k := range b.links {
+		if k.up && len(k.tries) == 0 && !k.r.Partial() && k.c.Quiet() {
+			return k
+		}
+	}
+	return nil
+}
+
+// least is the connection with the fewest set-ups, for when no further one may be opened.
+func (b *box) least() *link {
+	var best *link
+	for _, k := range b.links {
+		if k.up && k.c.Open() && (best == nil || len(k.tries) < len(best.tries)) {
+			best = k
+		}
+	}
+	return best
+}
+
+// reach opens a connection where none stands.
+func (b *box) reach() {
+	for _, k := range b.links {
+		if k.up {
+			b.n.tellWatch(boxes.Event{Kind: boxes.Hello, Box: boxes.Box(b.id), Sessions: b.placed()})
+			return
+		}
+	}
+	if len(b.links) == 0 && b.dial() == nil {
+		b.n.tellWatch(boxes.Event{Kind: boxes.Broke, Box: boxes.Box(b.id)})
+	}
+}
+
+// placed lists what this director holds there: the platform's media nodes don't tell what they run, so a connection
+// that stands proves that the machine lives and says nothing against any session.
+func (b *box) placed() []boxes.Session {
+	var l []boxes.Session
+	for _, s := range b.standing {
+		l = append(l, boxes.Session(s.no))
+	}
+	return l
+}
+
+// shut closes the connections that carry no set-up.
+func (b *box) shut() {
+	for _, k := range b.links {
+		if len(k.tries) == 0 {
+			k.c.Close(loop.ErrIdle)
+		}
+	}
+}
+
+// tell writes a message on a session, on any connection or on the next one that stands.
+func (b *box) tell(m []byte) {
+	if k := b.least(); k != nil {
+		k.c.Write(m)
+		return
+	}
+	if len(b.queue) < queueMost {
+		b.queue = append(b.queue, m)
+	}
+	if len(b.links) == 0 {
+		b.dial()
+	}
+}
+
+// Connected lets the attempts that waited for the connection be written.
+func (k *link) Connected(c *loop.Conn) {
+	b := k.b
+	b.n.l.Cancel(k.timer)
+	k.up = true
+	for _, m := range b.queue {
+		c.Write(m)
+	}
+	b.queue = nil
+	b.n.tellWatch(boxes.Event{Kind: boxes.Hello, Box: boxes.Box(b.id), Sessions: b.placed()})
+	for _, t := range k.tries {
+		t.step(attempt.Event{Kind: attempt.Connected})
+	}
+}
+
+// Drained wants nothing.
+func (k *link) Drained(*loop.Conn) {}
+
+// Data reads messages.
+func (k *link) Data(c *loop.Conn, data []byte) {
+	n := k.b.n
+	n.tellWatch(boxes.Event{Kind: boxes.Heard, Box: boxes.Box(k.b.id)})
+	was := k.r.Partial()
+	err := k.r.Feed(data, func(m *frame.Message) bool {
+		k.message(m)
+		return c.Open()
+	})
+	if err != nil {
+		k.spoilt(err)
+		return
+	}
+	if k.r.Partial() && !was {
+		k.partial = n.l.Now()
+	}
+}
+
+// spoilt gives up a connection on which where the next message begins is not known. Its set-ups may have run; the media
+// node is told that nobody waits for them.
+func (k *link) spoilt(err error) {
+	n := k.b.n
+	n.stats.Spoilt++
+	n.log.Debug("media node's message can't be read", "host", k.b.name, "error", err.Error())
+	for id := range k.tries {
+		k.c.Write(frame.AppendRelease(nil, id, causeClear))
+	}
+	k.why = err
+	k.c.Close(nil)
+}
+
+// Closed tells the attempts on the connection what can be known of them.
+func (k *link) Closed(_ *loop.Conn, err error) {
+	b := k.b
+	n := b.n
+	n.l.Cancel(k.timer)
+	for i, o := range b.links {
+		if o == k {
+			b.links = append(b.links[:i], b.links[i+1:]...)
+			break
+		}
+	}
+	n.links--
+	if len(b.links) == 0 {
+		n.tellWatch(boxes.Event{Kind: boxes.Broke, Box: boxes.Box(b.id), Refused: loop.Refused(err)})
+		b.queue = nil
+	}
+	for _, t := range k.tries {
+		t.closed()
+	}
+}
+
+func (k *link) message(m *frame.Message) {
+	n, b := k.b.n, k.b
+	switch m.Type {
+	case frame.Answer:
+		if t := k.tries[m.Session]; t != nil {
+			t.load = n.report(m.Get(frame.Report))
+			t.answered(m.Get(frame.SDP))
+		}
+	case frame.Release:
+		load := n.report(m.Get(frame.Report))
+		if t := k.tries[m.Session]; t != nil {
+			t.load = load
+			t.released(m.Cause())
+		} else if s := b.standing[m.Session]; s != nil {
+			o := headmill.Reset
+			cause := int(m.Cause())
+			switch cause {
+			case causeClear:
+				o = headmill.Served
+			case causeCancelled:
+				o = headmill.Cancelled
+			}
+			n.ended(s, o, cause, load)
+		}
+		k.c.Write(released(m.Session))
+	case frame.Note:
+		k.note(m)
+	case frame.Ping:
+		out, at := frame.Begin(nil, frame.Pong, m.Session)
+		k.c.Write(frame.End(frame.Add(out, frame.Cause, []byte{1}), at))
+	}
+}
+
+func released(id uint64) []byte {
+	out, at := frame.Begin(nil, frame.Released, id)
+	return frame.End(out, at)
+}
+
+var sorts = map[string]headmill.NoteKind{"got": headmill.NoteShare, "level": headmill.NoteRung,
+	"port": headmill.NoteLink, "spine": headmill.NoteUplink}
+
+func (k *link) note(m *frame.Message) {
+	s := k.b.standing[m.Session]
+	kind, ok := sorts[string(m.Get(frame.Sort))]
+	v, err := strconv.ParseFloat(string(m.Get(frame.Value)), 64)
+	if !ok || err != nil || math.IsNaN(v) || math.IsInf(v, 0) || s == nil {
+		return
+	}
+	k.b.n.tell(headmill.Event{Kind: headmill.EvNote, Session: s.no, Server: k.b.id, Note: kind, Value: v})
+}
+
+// sweep closes connections on which a message waits for its rest, and forgets what is long unused.
+func (b *box) sweep(now float64) {
+	for _, k := range b.links {
+		if k.up && k.r.Partial() && now-k.partial > partialMs {
+			k.spoilt(errors.New("message without its end"))
+		}
+	}
+	if len(b.links) == 0 && len(b.standing) == 0 && now-b.used > 60000 {
+		delete(b.n.boxes, b.id)
+	}
+}
+
+// ---- attempts ----
+
+// send begins the attempt that the module asked for. allow is its time, ms; 0: until the viewer gives up.
+func (n *Node) send(s *session, server headmill.ServerID, allow float64) {
+	now := n.l.Now()
+	if left := s.deadline - now; allow == 0 || allow > left {
+		allow = left
+	}
+	b := n.box(server)
+	t := &try{n: n, s: s, b: b, began: now, until: now + allow}
+	s.box, s.try = b, t
+	n.stats.Attempts++
+	t.timer = n.l.After(allow, func() { t.step(attempt.Event{Kind: attempt.Expired}) })
+	k := b.spare()
+	if k == nil {
+		if k = b.dial(); k == nil {
+			k = b.least()
+		}
+	}
+	if k == nil {
+		t.step(attempt.Event{Kind: attempt.Start})
+		return
+	}
+	t.join(k)
+	t.step(attempt.Event{Kind: attempt.Start, Reused: k.up})
+}
+
+func (t *try) join(k *link) {
+	t.k = k
+	k.tries[t.s.id] = t
+}
+
+// step gives a fact to decide/attempt and carries out what it says.
+func (t *try) step(ev attempt.Event) {
+	for _, a := range t.a.Step(ev, nil) {
+		switch a.Kind {
+		case attempt.Dial:
+			if t.k == nil {
+				if k := t.b.dial(); k != nil {
+					t.join(k)
+				} else {
+					t.step(attempt.Event{Kind: attempt.Broke})
+				}
+			}
+		case attempt.Write:
+			t.write()
+		case attempt.Cut: // the connection stays: it carries other set-ups
+			if t.k != nil && t.wrote {
+				t.k.c.Write(frame.AppendRelease(nil, t.s.id, causeClear))
+			}
+			t.off()
+		case attempt.Keep:
+			t.off()
+		case attempt.Settle:
+			t.settle(a.Outcome)
+		}
+	}
+}
+
+func (t *try) off() {
+	if t.k != nil && t.k.tries[t.s.id] == t {
+		delete(t.k.tries, t.s.id)
+	}
+	t.k = nil
+	t.n.l.Cancel(t.timer)
+}
+
+// write sends the set-up.
+func (t *try) write() {
+	s, c := t.s, t.k.c
+	out, at := frame.Begin(t.n.out[:0], frame.Setup, s.id)
+	out = frame.Add(out, frame.Class, s.className)
+	out = frame.Add(out, frame.Wait, strconv.Itoa(int(math.Max(t.until-t.n.l.Now(), 1))))
+	out = frame.Add(out, frame.Title, s.title)
+	out = frame.Add(out, frame.Rung, strconv.Itoa(s.rung))
+	out = frame.End(frame.Add(out, frame.SDP, s.sdp), at)
+	t.n.out = out[:0]
+	s.sent = s.rung
+	t.base = c.Written() + int64(c.Pending())
+	c.Write(out)
+	t.wrote = true
+	t.step(attempt.Event{Kind: attempt.Wrote, Bytes: c.Written() - t.base})
+}
+
+// closed tells what is known after the connection's end: whether a byte of the set-up had left.
+func (t *try) closed() {
+	if t.wrote && t.k.c.Written() > t.base {
+		t.step(attempt.Event{Kind: attempt.Wrote, Bytes: t.k.c.Written() - t.base})
+	}
+	t.k, t.wrote = nil, false
+	t.step(attempt.Event{Kind: attempt.Broke})
+}
+
+func (t *try) answered(sdp []byte) {
+	if t.a.State() != attempt.Sent {
+		return
+	}
+	s := t.s
+	t.step(attempt.Event{Kind: attempt.Whole, Status: 201})
+	s.try = nil
+	t.n.stands(s, t.n.l.Now()-t.began, sdp)
+	if s.rung != s.sent {
+		t.n.tellRung(s)
+	}
+}
+
+// released is the media node's own word on a set-up.
+func (t *try) released(cause byte) {
+	switch cause {
+	case causeFull, causeMoot:
+		t.moot = cause == causeMoot
+		t.step(attempt.Event{Kind: attempt.Whole, Status: 503, NeverRan: true})
+	case causeError:
+		t.step(attempt.Event{Kind: attempt.Whole, Status: 500})
+	default:
+		t.off()
+		t.step(attempt.Event{Kind: attempt.Broke})
+	}
+}
+
+var outcomes = map[attempt.Outcome]headmill.Outcome{attempt.Full: headmill.Full,
+	attempt.NoConnect: headmill.ConnectFailed, attempt.BoxError: headmill.Failed, attempt.Reset: headmill.Reset,
+	attempt.TimedOut: headmill.TimedOut, attempt.GivenUp: headmill.Cancelled}
+
+// settle tells the module the outcome of an attempt that does not stand.
+func (t *try) settle(o attempt.Outcome) {
+	if o == attempt.Plays {
+		return
+	}
+	n, s := t.n, t.s
+	n.l.Cancel(t.timer)
+	if s.try == t {
+		s.try = nil
+	}
+	what := outcomes[o]
+	if t.moot && o == attempt.Full {
+		what = headmill.Moot
+	}
+	n.tell(headmill.Event{Kind: headmill.EvSettled, Session: s.no, Server: t.b.id, Outcome: what,
+		Finished: s.state == over, TookMs: n.l.Now() - t.began, Report: t.load})
+}
+
+// tellRung sends the module's rung where it is not what the media node was told last.
+func (n *Node) tellRung(s *session) {
+	if s.rung == s.sent && s.state != plays {
+		return
+	}
+	out, at := frame.Begin(nil, frame.Rate, s.id)
+	m := frame.End(frame.Add(out, frame.Rung, strconv.Itoa(s.rung)), at)
+	switch {
+	case s.state == plays && s.rung != s.sent:
+		s.sent = s.rung
+		s.box.tell(m)
+	case s.state == asked && s.try != nil && s.try.wrote && s.try.k != nil:
+		s.sent = s.rung
+		s.try.k.c.Write(m)
+	}
+}
--- /dev/null
+++ b/internal/platform/node/node.go
@@ -0,0 +1,497 @@
+// Package node is the director on the users' platform: viewers by JSON lines,
+// media nodes by binary messages, the name service by DNS. It owns the
+// sessions and turns what comes on sockets into events of the decision modules
+// and their actions into messages. It decides nothing: where a session goes,
+// its rung, a refusal and its advice are the module's; what became of a set-up
+// is decide/attempt's, which list counts decide/fleet's, and which sessions are
+// lost with a media node decide/boxes'.
+//
+// A session passes these states:
+//
+//	asked    the module has it; an attempt is out or about to be
+//	plays    it stands at its media node
+//	ending   its viewer has left; the media node's last word is awaited
+//	over     the module has let go of it
+package node
+
+import (
+	"fmt"
+	"log/slog"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"headmill"
+	"headmill/decide/attempt"
+	"headmill/decide/boxes"
+	"headmill/decide/fleet"
+	"headmill/decide/retire"
+	"headmill/internal/loop"
+	"headmill/internal/platform/frame"
+	"headmill/internal/platform/lines"
+)
+
+// Causes of releases (Q.850). The first three are refusals: trying again is harmless.
+const (
+	causeFull      = 34
+	causeCongested = 42
+	causeMoot      = 102
+	causeClear     = 16
+	causeCancelled = 31
+	causeReset     = 41
+	causeError     = 47
+	causeMissing   = 96  // a field that is needed is missing
+	causeInvalid   = 100 // a field that can't be used
+)
+
+const (
+	sweepMs   = 100.0  // between looks at what is late
+	endMs     = 400.0  // for a media node's last word on a session that its viewer ended
+	oweMs     = 8000.0 // for which a release that no connection could take is kept
+	sessionsM = 100000 // sessions at most
+)
+
+type state uint8
+
+const (
+	asked state = iota
+	plays
+	ending
+	over
+)
+
+// session is one entry of the table, from its set-up to its last word.
+type session struct {
+	id         uint64
+	no         headmill.SessionID
+	class      int
+	state      state
+	rung, sent int
+	front      *viewer // of its set-up; nil once that connection is closed
+	className  string
+	title      string
+	sdp        string // until it stands
+	deadline   float64
+	box        *box
+	try        *try
+	timer      *loop.Timer // of ending
+}
+
+// Stats counts what happened since the start.
+type Stats struct {
+	Asked, Played, Refused, Failed, Left, Bad, Lost, Spoilt, Attempts, Opened int
+}
+
+// Node is one director.
+type Node struct {
+	cfg    *Config
+	l      *loop.Loop
+	log    *slog.Logger
+	module *headmill.Controller
+	list   *fleet.List
+	watch  *boxes.Watch
+	stop   *retire.Stop
+	feed   feed
+	door   *loop.Listener
+
+	in, spare []headmill.Event
+	watchIn   []boxes.Event
+	acts      []headmill.Action
+	flushing  bool
+	unix0     float64 // Unix time, ms, of the loop's zero
+
+	sessions map[uint64]*session
+	numbers  map[headmill.SessionID]*session
+	last     headmill.SessionID
+	boxes    map[headmill.ServerID]*box
+	viewers  map[*viewer]struct{}
+	owed     []owed
+	links    int
+	waiting  int // sessions in asked
+	term     bool
+	hurry    bool
+	out      []byte
+	msg      lines.Message
+	stats    Stats
+	// Done is called once when the director has stopped.
+	Done func()
+}
+
+// owed is a release that no connection could take.
+type owed struct {
+	id    uint64
+	cause int
+	until float64
+}
+
+// New makes a director on a loop; Start opens it.
+func New(cfg *Config, l *loop.Loop, log *slog.Logger) (*Node, error) {
+	n := &Node{cfg: cfg, l: l, log: log, sessions: map[uint64]*session{}, numbers: map[headmill.SessionID]*session{},
+		boxes: map[headmill.ServerID]*box{}, viewers: map[*viewer]struct{}{}, Done: func() {}}
+	n.unix0 = float64(time.Now().UnixMicro())/1000 - l.Now()
+	var err error
+	if n.module, err = headmill.New(cfg.Module, cfg.Seed); err != nil {
+		return nil, err
+	}
+	m := &cfg.Module
+	n.list = fleet.New(fleet.Config{MaxBoxes: 4096, Cells: m.Cells, Kinds: len(cfg.Words.Kinds)})
+	// Loads come on one session of each media node once in TellMs, as late as ToldLateMs: silence for longer is a sign.
+	silent := math.Max(m.TellMs+m.ToldLateMs+500, 2000)
+	n.watch = boxes.New(boxes.Config{SilentMs: silent, LostMs: silent + 2*cfg.ConnectMs + 300, RetryMs: 50,
+		MaxRetry: 400, IdleMs: 5000, OpenMs: cfg.ConnectMs + 50})
+	n.stop = retire.New(retire.Config{NoticeMs: 1500, FinishMs: slices.Max(cfg.DeadlineMs) + 200, PlayMs: math.Inf(1)})
+	n.feed.n = n
+	l.SetLingerMost(cfg.Sockets / 16)
+	return n, nil
+}
+
+// Start takes the list of the start, asks the name service and opens the door.
+func (n *Node) Start() error {
+	known, err := n.cfg.Known.Message(n.cfg.Words)
+	if err != nil {
+		return err
+	}
+	if err := n.take(&known); err != nil {
+		return err
+	}
+	n.flush()
+	if n.door, err = n.l.Listen(n.cfg.Listen, n.accept); err != nil {
+		return err
+	}
+	if err := n.feed.open(n.cfg.DNS); err != nil {
+		return err
+	}
+	n.l.OnRound(n.flush)
+	n.l.After(sweepMs, n.sweep)
+	return nil
+}
+
+// Addr is the address listened on.
+func (n *Node) Addr() string { return n.door.Addr() }
+
+// Stats is what happened so far.
+func (n *Node) Stats() Stats { return n.stats }
+
+// Stop begins to stop; a second call hurries. It may be called from any goroutine.
+func (n *Node) Stop() { n.l.Post(func() { n.hurry = n.term; n.term = true }) }
+
+// Reload takes a configuration read anew: the name service may have another address. The rest holds from the start.
+func (n *Node) Reload(cfg *Config) {
+	n.l.Post(func() {
+		if err := n.feed.open(cfg.DNS); err != nil {
+			n.log.Error("name service's new address can't be used; the old one stays", "dns", cfg.DNS, "error", err.Error())
+		}
+	})
+}
+
+// now is the Unix time in ms, the clock of the modules and of the name service's starts.
+func (n *Node) now() float64 { return n.unix0 + n.l.Now() }
+
+// flush hands what has gathered to the decision modules until nothing is left. It runs at the end of each round of the
+// loop, so that what came in one round is decided as one batch, in its order.
+func (n *Node) flush() {
+	if n.flushing {
+		return
+	}
+	n.flushing = true
+	for len(n.in)+len(n.watchIn) > 0 {
+		if in := n.watchIn; len(in) > 0 {
+			n.watchIn = nil
+			for _, a := range n.watch.Step(n.l.Now(), in, nil) {
+				n.fromWatch(a)
+			}
+		}
+		if in := n.in; len(in) > 0 {
+			n.in, n.spare = n.spare[:0], in
+			n.acts = n.module.Step(n.now(), in, n.acts[:0])
+			for i := range n.acts {
+				n.fromModule(&n.acts[i])
+			}
+		}
+	}
+	n.flushing = false
+}
+
+func (n *Node) tell(ev headmill.Event) { n.in = append(n.in, ev) }
+
+func (n *Node) tellWatch(ev boxes.Event) { n.watchIn = append(n.watchIn, ev) }
+
+// take judges a list and tells the module.
+func (n *Node) take(m *fleet.Message) error {
+	ev, verdict, err := n.list.Take(n.now(), m)
+	if verdict == fleet.Taken {
+		n.tell(ev)
+		for i := range m.Entries {
+			e := &m.Entries[i]
+			if b := n.boxes[fleet.Named(e.Name)]; b != nil && b.addr != e.Addr {
+				b.addr = e.Addr // a connection that is open stays with the process that it reached
+			}
+		}
+	}
+	return err
+}
+
+// fromModule carries out what the module says; every kind of action is here.
+func (n *Node) fromModule(a *headmill.Action) {
+	s := n.numbers[a.Session]
+	switch a.Kind {
+	case headmill.ActSend:
+		if s != nil && s.state == asked {
+			n.send(s, a.Server, a.AtMs)
+		} else { // its viewer left in the same round: the module must not wait for an attempt that is never made
+			n.tell(headmill.Event{Kind: headmill.EvSettled, Session: a.Session, Server: a.Server,
+				Outcome: headmill.Moot, Finished: true})
+		}
+	case headmill.ActRung:
+		if s != nil {
+			s.rung = a.Rung
+			n.tellRung(s)
+		}
+	case headmill.ActRefuse:
+		if s != nil && s.state == asked {
+			n.stats.Refused++
+			n.final(s, causeCongested, a.RetryMs)
+		}
+	case headmill.ActFail:
+		if s != nil && s.state == asked {
+			n.stats.Failed++
+			n.final(s, causeError, 0)
+		}
+	case headmill.ActTimer:
+		name := a.Timer
+		n.l.At(a.AtMs-n.unix0, func() { n.tell(headmill.Event{Kind: headmill.EvTimer, Timer: name}) })
+	case headmill.ActWatch: // the name service is asked all the time
+	case headmill.ActLog:
+		n.log.Warn(a.Text)
+	}
+}
+
+// final answers a set-up that is not to stand, and forgets it.
+func (n *Node) final(s *session, cause int, waitMs float64) {
+	if f := s.front; f != nil {
+		n.out = lines.AppendRelease(n.out[:0], s.id, cause, waitMs)
+		f.answer(n.out)
+	}
+	n.forget(s)
+}
+
+func (n *Node) forget(s *session) {
+	n.leave(s)
+	if s.state == asked {
+		n.waiting--
+	}
+	n.l.Cancel(s.timer)
+	s.state = over
+	if n.sessions[s.id] == s {
+		delete(n.sessions, s.id)
+	}
+	delete(n.numbers, s.no)
+}
+
+// leave takes a session off its viewer's connection.
+func (n *Node) leave(s *session) {
+	if s.front != nil {
+		if s.state == plays || s.state == ending {
+			s.front.stands--
+		}
+		delete(s.front.open, s)
+		s.front = nil
+	}
+}
+
+// request makes the module's request out of a set-up.
+func (n *Node) request(v *viewer, id uint64, r *request) {
+	if len(n.sessions) >= sessionsM {
+		v.answer(lines.AppendRelease(n.out[:0], id, causeCongested, 0))
+		return
+	}
+	n.last++
+	s := &session{id: id, no: n.last, class: r.class, className: r.className, title: r.title, sdp: r.sdp, front: v,
+		deadline: n.l.Now() + r.left, rung: n.cfg.Module.Classes[r.class].Floor}
+	n.sessions[id], n.numbers[s.no] = s, s
+	ev := headmill.Event{Kind: headmill.EvRequest, Session: s.no, Class: r.class, Title: r.key, RemainingMs: r.left,
+		Home: r.home, Copies: r.copies, TopRung: r.top}
+	if r.at != "" {
+		n.adopt(s, fleet.Named(r.at), ev)
+		return
+	}
+	v.open[s] = struct{}{}
+	n.stats.Asked++
+	n.waiting++
+	n.tell(ev)
+}
+
+// adopt takes a session that plays at a media node already.
+func (n *Node) adopt(s *session, server headmill.ServerID, ev headmill.Event) {
+	if !n.list.Has(server) {
+		n.owe(s.front, s.id, causeReset) // where it played is not there any more, so it is over
+		n.forget(s)
+		return
+	}
+	n.stats.Opened++
+	s.front.keep(s)
+	s.state, s.box = plays, n.box(server)
+	s.box.standing[s.id] = s
+	ev.Kind, ev.Server = headmill.EvExisting, server
+	n.tell(ev)
+	n.tellWatch(boxes.Event{Kind: boxes.Placed, Box: boxes.Box(server), Session: boxes.Session(s.no)})
+}
+
+// stands passes a media node's answer on: the session plays.
+func (n *Node) stands(s *session, took float64, sdp []byte) {
+	n.stats.Played++
+	n.waiting--
+	s.state, s.sdp = plays, ""
+	s.box.standing[s.id] = s
+	if f := s.front; f != nil {
+		n.out = lines.AppendAnswer(n.out[:0], s.id, sdp)
+		f.answer(n.out)
+		f.keep(s)
+	}
+	n.tell(headmill.Event{Kind: headmill.EvPlaying, Session: s.no, Server: s.box.id, TookMs: took})
+	n.tellWatch(boxes.Event{Kind: boxes.Placed, Box: boxes.Box(s.box.id), Session: boxes.Session(s.no)})
+}
+
+// ended settles a session that stood: the module hears of it, and its viewer, where it is owed a release.
+func (n *Node) ended(s *session, o headmill.Outcome, cause int, r headmill.Report) {
+	if s.state != plays && s.state != ending {
+		return
+	}
+	delete(s.box.standing, s.id)
+	if s.state == plays && cause != causeCancelled {
+		n.owe(s.front, s.id, cause)
+	}
+	n.tell(headmill.Event{Kind: headmill.EvSettled, Session: s.no, Server: s.box.id, Outcome: o, Finished: true, Report: r})
+	n.tellWatch(boxes.Event{Kind: boxes.Gone, Box: boxes.Box(s.box.id), Session: boxes.Session(s.no)})
+	n.forget(s)
+}
+
+// left is the viewer's own end of a session: a set-up given up, or one that stood.
+func (n *Node) left(s *session) {
+	switch s.state {
+	case asked:
+		n.stats.Left++
+		n.tell(headmill.Event{Kind: headmill.EvGone, Session: s.no})
+		t := s.try
+		n.forget(s)
+		if t != nil {
+			t.step(attempt.Event{Kind: attempt.Cancelled})
+		}
+	case plays:
+		s.state = ending
+		s.box.tell(frame.AppendRelease(nil, s.id, causeClear))
+		s.timer = n.l.After(endMs, func() {
+			s.timer = nil
+			n.ended(s, headmill.Cancelled, causeCancelled, headmill.Report{})
+		})
+	}
+}
+
+// owe sends a release towards a viewer, on the connection that it came from or, since a session that stands belongs to
+// none, on another; where there is none it is kept for a while.
+func (n *Node) owe(front *viewer, id uint64, cause int) {
+	v := front
+	if v == nil || !v.c.Open() {
+		v = nil
+		for o := range n.viewers {
+			if o.c.Open() && o.trusted && (v == nil || o.heard > v.heard) {
+				v = o
+			}
+		}
+	}
+	if v == nil {
+		n.owed = append(n.owed, owed{id, cause, n.l.Now() + oweMs})
+		return
+	}
+	n.out = lines.AppendRelease(n.out[:0], id, cause, 0)
+	v.c.Write(n.out)
+}
+
+// payUp sends what is owed, once a connection is there.
+func (n *Node) payUp(v *viewer) {
+	due := n.owed
+	n.owed = nil
+	for _, o := range due {
+		if n.l.Now() < o.until {
+			n.owe(v, o.id, o.cause)
+		}
+	}
+}
+
+// fromWatch carries out what decide/boxes says.
+func (n *Node) fromWatch(a boxes.Action) {
+	b := n.boxes[headmill.ServerID(a.Box)]
+	if b == nil {
+		return
+	}
+	switch a.Kind {
+	case boxes.Open:
+		b.wanted = true
+		b.reach()
+	case boxes.Shut:
+		b.wanted = false
+		b.shut()
+	case boxes.Lose, boxes.Orphan:
+		if s := n.numbers[headmill.SessionID(a.Session)]; s != nil && s.state != asked {
+			n.stats.Lost++
+			n.ended(s, headmill.Reset, causeReset, headmill.Report{})
+		}
+	case boxes.Down:
+		n.log.Warn("media node is down; its sessions are given up", "host", b.name, "sessions", a.Count)
+	}
+}
+
+// report reads a load report: NAME:VALUE;... with the names of the settings.
+func (n *Node) report(b []byte) headmill.Report {
+	r := headmill.Report{Streams: -1, Link: -1, Uplink: -1}
+	capped := -1.0
+	for _, word := range strings.Split(string(b), ";") {
+		name, value, ok := strings.Cut(word, ":")
+		v, err := strconv.ParseFloat(value, 64)
+		if !ok || err != nil || !(v >= 0) || math.IsInf(v, 0) || !slices.Contains(n.cfg.Fields, name) {
+			continue
+		}
+		r.Told = true
+		switch name {
+		case "outstanding":
+			r.Streams = v
+		case "x0":
+			r.Link = v
+		case "x1":
+			r.Uplink = v
+		case "utilization":
+			capped = v
+		}
+	}
+	if r.Link < 0 {
+		r.Link = capped
+	}
+	return r
+}
+
+// sweep looks at what is late, and at how far a stop is.
+func (n *Node) sweep() {
+	n.l.After(sweepMs, n.sweep)
+	now := n.l.Now()
+	n.tellWatch(boxes.Event{Kind: boxes.Tick})
+	for v := range n.viewers {
+		v.sweep(now)
+	}
+	for _, b := range n.boxes {
+		b.sweep(now)
+	}
+	n.owed = slices.DeleteFunc(n.owed, func(o owed) bool { return now >= o.until })
+	for _, a := range n.stop.Step(now, retire.Facts{Asked: n.term, Hurry: n.hurry, Waiting: n.waiting,
+		Playing: len(n.sessions) - n.waiting}, nil) {
+		switch a {
+		case retire.CloseDoor:
+			n.door.Close()
+		case retire.CutAll:
+			n.Done()
+		}
+	}
+}
+
+func (n *Node) String() string { return fmt.Sprintf("%s: %+v", n.cfg.Name, n.stats) }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -77,7 +77,7 @@
 
 // ParseSettings translates path=value lines; unknown keys are skipped.
 func ParseSettings(text string) (Settings, error) {
-	t := &table{kv: make(map[string]string)}
+	kv := make(map[string]string)
 	for _, line := range strings.Split(text, "\n") {
 		line = strings.TrimRight(line, "\r")
 		if line == "" {
@@ -87,8 +87,14 @@
 		if !ok {
 			return Settings{}, fmt.Errorf("wire: settings line %q has no '='", line)
 		}
-		t.kv[key] = value
+		kv[key] = value
 	}
+	return ReadSettings(kv)
+}
+
+// ReadSettings translates settings by their paths; unknown keys are skipped.
+func ReadSettings(kv map[string]string) (Settings, error) {
+	t := &table{kv: kv}
 	fam := "family_info."
 	floors, tops := t.nums(fam+"floor_by_class"), t.nums(fam+"top_by_class")
 	scales, seats := t.nums(fam+"scale_by_class"), t.nums(fam+"class_seats")
