Sessions that play at the start are taken, whatever time they name

Ruled out by log lines: decide/boxes' losses, unknown media nodes. Cause: node.read bounded left at twice the class's deadline, and set-ups with at carry 4294967 ms. Now such a set-up may name any positive time.

--- a/internal/platform/node/front.go
+++ b/internal/platform/node/front.go
@@ -185,6 +185,7 @@
 	r, cause := n.read(m)
 	if cause != 0 {
 		n.stats.Bad++
+		n.log.Debug("set-up can't be used", "id", m.ID, "cause", cause, "fields", m.Fields, "sdp", m.HasSDP)
 		v.answer(lines.AppendRelease(n.out[:0], id, cause, 0))
 		return
 	}
@@ -223,8 +224,10 @@
 			return r, causeInvalid
 		}
 	}
+	r.at, _ = extra(m, "at")
 	var err error
-	if r.left, err = strconv.ParseFloat(left, 64); err != nil || !(r.left > 0) || r.left > 2*n.cfg.DeadlineMs[r.class] {
+	if r.left, err = strconv.ParseFloat(left, 64); err != nil || !(r.left > 0) || math.IsInf(r.left, 0) ||
+		r.at == "" && r.left > 2*n.cfg.DeadlineMs[r.class] { // a session that plays has no deadline: any figure will do
 		return r, causeInvalid
 	}
 	if r.key, ok = lines.ID(title); !ok {
@@ -245,7 +248,6 @@
 		}
 		*f.to = int(v)
 	}
-	r.at, _ = extra(m, "at")
 	r.className, r.title, r.sdp = className, title, m.SDP
 	return r, 0
 }
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -314,7 +314,7 @@
 	ev := headmill.Event{Kind: headmill.EvRequest, Session: s.no, Class: r.class, Title: r.key, RemainingMs: r.left,
 		Home: r.home, Copies: r.copies, TopRung: r.top}
 	if r.at != "" {
-		n.adopt(s, fleet.Named(r.at), ev)
+		n.adopt(s, r.at, ev)
 		return
 	}
 	v.open[s] = struct{}{}
@@ -324,8 +324,10 @@
 }
 
 // adopt takes a session that plays at a media node already.
-func (n *Node) adopt(s *session, server headmill.ServerID, ev headmill.Event) {
+func (n *Node) adopt(s *session, at string, ev headmill.Event) {
+	server := fleet.Named(at)
 	if !n.list.Has(server) {
+		n.log.Debug("session plays where no media node is listed", "host", at)
 		n.owe(s.front, s.id, causeReset) // where it played is not there any more, so it is over
 		n.forget(s)
 		return
@@ -360,6 +362,7 @@
 		return
 	}
 	delete(s.box.standing, s.id)
+	n.log.Debug("session ended", "id", s.id, "host", s.box.name, "cause", cause, "state", s.state)
 	if s.state == plays && cause != causeCancelled {
 		n.owe(s.front, s.id, cause)
 	}
