An id in use on another connection no longer ends the session that has it

Cause: viewer.setup took a set-up under an id that stands for a confusion of its own viewer and ended both; bad clients send ids of others' open sessions. Now only the newcomer is turned away, unless it comes on the same connection, where which is meant can't be told.

--- a/internal/platform/node/front.go
+++ b/internal/platform/node/front.go
@@ -165,18 +165,11 @@
 		if at, _ := extra(m, "at"); at != "" && s.state != asked {
 			return // what this director holds already
 		}
-		// An id that is in use: which of the two is meant can't be told, so neither goes on, and there is one answer.
+		// An id that is in use. From another connection it is not the session's viewer who asks: the session goes on,
+		// and only the newcomer is turned away. On one connection it can't be told which is meant, so neither goes
+		// on, and there is one answer.
 		n.stats.Bad++
-		if s.state == asked {
-			t := s.front
-			n.left(s)
-			if t != nil {
-				t.answer(lines.AppendRelease(n.out[:0], id, causeInvalid, 0))
-			}
-			if t == v {
-				return
-			}
-		} else {
+		if s.front == v {
 			n.left(s)
 		}
 		v.answer(lines.AppendRelease(n.out[:0], id, causeInvalid, 0))
