A request that errs everywhere, or one broken connection, shuts no server

Checked by a log line for each error: all came to set-ups of bad clients with titles that no media node holds, each at two or three holders within a millisecond. Ruled out: load (links at 0.2 to 0.8). Cause: settled booked every error and every broken set-up on the server, which then rested 1 to 8 s, and took one broken set-up for a lost server, cold for 12 s after its next answer. Now the first error or broken set-up since a server's last answer is a doubt only, an error at a second server is the request's fault and takes the doubt back, and only a session that breaks while it plays, or two failed connects, mean a lost server (blame, settled).

--- a/controller.go
+++ b/controller.go
@@ -110,6 +110,7 @@
 	pending, fails   int     // set-ups out; set-ups failed in a row
 	until, full      float64 // no set-up before then: it failed; it answered full
 	lost             bool    // seen to fail as a whole: cold when it answers again
+	doubt            bool    // one set-up erred or broke off there; a second in a row is the server's fault
 	coldAt, lastCold float64 // start of its warm-up as far as known, 0 = warm; last set-up while cold
 	logged, raised   float64 // last line about it; last look for room to raise
 }
@@ -132,6 +133,7 @@
 	server              *server // of the attempt that is out or plays
 	rung, plan          int     // in force; what lower or raise means to set
 	playing, mayHaveRun bool
+	erred               *server // where it erred: an error at another too is the request's fault
 	spare               float64 // share of a server's places that must stay free beside it
 	tries               int
 	tried               []ServerID
@@ -779,7 +781,7 @@
 		if v.lost {
 			v.lost, v.coldAt = false, c.now
 		}
-		v.fails, v.until = 0, 0
+		v.fails, v.until, v.doubt = 0, 0, false
 	}
 	if s := c.sessions[ev.Session]; s != nil && s.server != nil && !s.playing {
 		s.playing, s.playedAt = true, c.now
@@ -842,8 +844,8 @@
 	}
 	if v != nil {
 		if why := troubles[ev.Outcome]; why != "" {
-			v.lost = v.lost || ev.Outcome == Reset || ev.Outcome == ConnectFailed && v.fails > 0
-			c.failed(v, why)
+			v.lost = v.lost || ev.Outcome == Reset && was || ev.Outcome == ConnectFailed && v.fails > 0
+			c.blame(s, v, ev.Outcome, why, was)
 		}
 		c.report(v, &ev.Report)
 		if ev.Outcome == Full { // of rate, of streams or of set-ups waiting: it does not say which
@@ -859,6 +861,25 @@
 	}
 	c.place(s)
 }
+// blame books a failure on a server, unless it may be another's: a request that no server can use errs at each,
+// and connections break for reasons of their own. Servers were shut for both, and taken as cold.
+// and connections break for reasons of their own. Servers were shut for both, and taken as cold.
+func (c *Controller) blame(s *session, v *server, o Outcome, why string, played bool) {
+	if s != nil && !played && (o == Failed || o == Reset) {
+		if o == Failed && s.erred != nil {
+			s.erred.doubt = false
+			return
+		}
+		if o == Failed {
+			s.erred = v
+		}
+		if !v.doubt {
+			v.doubt = true
+			return
+		}
+	}
+	c.failed(v, why)
+}
 
 // ---- while sessions play ----
 
--- a/controller_test.go
+++ b/controller_test.go
@@ -680,3 +680,64 @@
 		t.Error("the last place is not given at all")
 	}
 }
+
+// A request that no server can use errs at each of them; the servers must stay in use for others.
+func TestABadRequestShutsNoServer(t *testing.T) {
+	b := start(t, testConfig())
+	b.tell(0.1)
+	for title := uint64(1); title <= 3; title++ { // a bad request and a good one in turn
+		id, acts := b.ask(0, title)
+		for to, _, ok := sent(acts); ok; to, _, ok = sent(acts) {
+			acts = b.settle(id, to, Failed)
+		}
+		if !has(acts, ActRefuse) {
+			t.Fatalf("title %d: a repeatable request that errs everywhere gets %v, want a refusal at once", title, acts)
+		}
+		id, acts = b.ask(1, 100+title)
+		to, _, ok := sent(acts)
+		if !ok {
+			t.Fatalf("after %d bad requests a paid one finds no server: %v", title, acts)
+		}
+		b.play(id, to)
+	}
+	for _, v := range b.c.order {
+		if v.fails > 0 || v.until > b.now {
+			t.Fatalf("server %d is shut after errors of bad requests: fails %d", v.ID, v.fails)
+		}
+	}
+}
+
+// A set-up whose connection broke neither shuts its server nor makes it cold; two in a row shut it, and a session that
+// breaks while it plays means that the server was lost.
+func TestOneBrokenConnectionIsNoLostServer(t *testing.T) {
+	b := start(t, testConfig())
+	b.tell(0.1)
+	broken := func() *server {
+		id, acts := b.ask(1, 42)
+		to, _, ok := sent(acts)
+		if !ok {
+			t.Fatalf("not set up: %v", acts)
+		}
+		if acts = b.settle(id, to, Reset); !has(acts, ActFail) {
+			t.Fatalf("a paid set-up that broke gets %v, want a failure", acts)
+		}
+		return b.c.servers[to]
+	}
+	v := broken()
+	if v.fails != 0 || v.lost || v.until > b.now {
+		t.Fatalf("after one break: fails %d, lost %v, shut until %v at %v", v.fails, v.lost, v.until, b.now)
+	}
+	id, acts := b.ask(0, 42)
+	to, _, _ := sent(acts)
+	if b.play(id, to); to != v.ID || b.c.cold(v) {
+		t.Fatalf("the next goes to %d, want %d; cold %v", to, v.ID, b.c.cold(v))
+	}
+	broken()
+	if broken(); v.fails != 1 || v.until <= b.now {
+		t.Fatalf("after two breaks in a row: fails %d, shut until %v at %v", v.fails, v.until, b.now)
+	}
+	b.step(Event{Kind: EvSettled, Session: id, Server: to, Outcome: Reset, Finished: true})
+	if !v.lost {
+		t.Fatal("a session that broke while it played does not mark its server as lost")
+	}
+}
--- a/internal/platform/node/media.go
+++ b/internal/platform/node/media.go
@@ -408,6 +408,8 @@
 		t.moot = cause == causeMoot
 		t.step(attempt.Event{Kind: attempt.Whole, Status: 503, NeverRan: true})
 	case causeError:
+		t.n.log.Debug("media node answers a set-up with an error", "host", t.b.name, "id", t.s.id, "class", t.s.className,
+			"title", t.s.title, "sdp", t.s.sdp, "left", t.s.deadline-t.began)
 		t.step(attempt.Event{Kind: attempt.Whole, Status: 500})
 	default:
 		t.off()
