--- a/controller.go
+++ b/controller.go
@@ -862,8 +862,8 @@
 	c.place(s)
 }
 
-// blame books a failure on a server, unless it may be another's: a request that no server can use errs at each,
-// and connections break for reasons of their own. Servers were shut for both, and taken as cold.
+// blame books a failure on a server, unless it may be another's: a request that no server can use errs at
+// each, and connections break for reasons of their own. Servers were shut for both, and taken as cold.
 func (c *Controller) blame(s *session, v *server, o Outcome, why string, played bool) {
 	if s != nil && !played && (o == Failed || o == Reset) {
 		if o == Failed && s.erred != nil {
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -321,3 +321,52 @@
 		io.ReadFull(c, buf)
 	}
 }
+
+// Datagrams come from the peer alone, and a peer that is not there yet ends nothing.
+func TestPacket(t *testing.T) {
+	peer, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	l, err := New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := make(chan string, 10)
+	p, err := l.Packet(peer.LocalAddr().String(), func(b []byte) { got <- string(b) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- l.Run() }()
+	l.Post(func() { p.Send([]byte("question")) })
+	b := make([]byte, 100)
+	peer.SetReadDeadline(time.Now().Add(10 * time.Second))
+	n, from, err := peer.ReadFromUDP(b)
+	if err != nil || string(b[:n]) != "question" {
+		t.Fatalf("%q, %v", b[:n], err)
+	}
+	stranger, err := net.DialUDP("udp4", nil, from)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stranger.Close()
+	stranger.Write([]byte("forged"))
+	peer.WriteToUDP([]byte("answer"), from)
+	select {
+	case s := <-got:
+		if s != "answer" {
+			t.Fatalf("%q came from a stranger", s)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("the answer did not come")
+	}
+	if _, err := l.Packet("10.0.0.1:53", nil); err == nil {
+		t.Fatal("a peer off the loopback interface is taken")
+	}
+	l.Stop()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/platform/frame/frame_test.go
@@ -0,0 +1,83 @@
+package frame
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+)
+
+func answer(id uint64, sdp string) []byte {
+	out, at := Begin(nil, Answer, id)
+	return End(Add(Add(out, Report, "outstanding:3"), SDP, sdp), at)
+}
+
+// Messages come whole in any split.
+func TestReaderInAnySplit(t *testing.T) {
+	stream := append(answer(7, "v=0\r\n"), AppendRelease(nil, 1<<63, 41)...)
+	for cut := range len(stream) + 1 {
+		var r Reader
+		var got []Type
+		take := func(m *Message) bool {
+			if m.Type == Answer && (m.Session != 7 || string(m.Get(SDP)) != "v=0\r\n") ||
+				m.Type == Release && (m.Session != 1<<63 || m.Cause() != 41) {
+				t.Fatalf("cut at %d: %+v", cut, m)
+			}
+			got = append(got, m.Type)
+			return true
+		}
+		if err := errors.Join(r.Feed(stream[:cut], take), r.Feed(stream[cut:], take)); err != nil || len(got) != 2 || r.Partial() {
+			t.Fatalf("cut at %d: %v, %v, partial %v", cut, got, err, r.Partial())
+		}
+	}
+}
+
+// What can't be read must be told at once, not waited for.
+func TestNoiseIsAnError(t *testing.T) {
+	good := answer(7, "v=0\r\n")
+	change := func(at int, b ...byte) []byte {
+		c := bytes.Clone(good)
+		copy(c[at:], b)
+		return c
+	}
+	for name, b := range map[string][]byte{
+		"length over the bound":      {0xff, 0xff},
+		"length too short":           {0, 3, 9},
+		"unknown type":               change(2, 99),
+		"unknown type, nothing more": {0, 200, 99},
+		"parameter over the end":     change(12, 0x10),
+		"unknown parameter":          change(11, 77),
+		"parameter twice":            change(11+3+13, byte(Report)),
+		"answer without description": func() []byte { o, at := Begin(nil, Answer, 1); return End(o, at) }(),
+		"description not UTF-8":      answer(7, "\xff\xfe"),
+		"release without cause":      func() []byte { o, at := Begin(nil, Release, 1); return End(o, at) }(),
+		"cause of two bytes":         func() []byte { o, at := Begin(nil, Release, 1); return End(Add(o, Cause, "ab"), at) }(),
+		"note without figure":        func() []byte { o, at := Begin(nil, Note, 1); return End(Add(o, Sort, "got"), at) }(),
+	} {
+		var r Reader
+		err := r.Feed(b, func(m *Message) bool { t.Errorf("%s: taken as %+v", name, m); return true })
+		if !errors.Is(err, ErrSpoilt) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func FuzzReader(f *testing.F) {
+	f.Add(append(answer(7, "v=0"), AppendRelease(nil, 9, 34)...), uint(5))
+	f.Fuzz(func(t *testing.T, b []byte, cut uint) {
+		read := func(parts ...[]byte) (n int, bad bool) {
+			var r Reader
+			for _, p := range parts {
+				if err := r.Feed(p, func(*Message) bool { n++; return true }); err != nil {
+					return n, true
+				}
+			}
+			return n, false
+		}
+		at := int(cut % uint(len(b)+1))
+		n1, bad1 := read(b)
+		n2, bad2 := read(b[:at], b[at:])
+		if n1 != n2 || bad1 != bad2 {
+			t.Fatalf("whole: %d messages, bad %v; cut at %d: %d, %v", n1, bad1, at, n2, bad2)
+		}
+	})
+}
--- a/internal/platform/lines/lines.go
+++ b/internal/platform/lines/lines.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 	"unicode/utf16"
 	"unicode/utf8"
 )
@@ -194,17 +195,34 @@
 	return rune(v), nil
 }
 
-// number returns the text of a number in JSON's form.
+// number returns the text of a number in JSON's form (RFC 8259 section 6).
 func (p *parser) number() (string, error) {
 	from := p.i
-	for p.i < len(p.b) && bytes.IndexByte([]byte("+-0123456789.eE"), p.b[p.i]) >= 0 {
-		p.i++
+	digits := func() bool {
+		at := p.i
+		for p.i < len(p.b) && p.b[p.i] >= '0' && p.b[p.i] <= '9' {
+			p.i++
+		}
+		return p.i > at
 	}
-	text := string(p.b[from:p.i])
-	if _, err := strconv.ParseFloat(text, 64); err != nil || text[0] == '+' || text[0] == '.' {
+	next := func(set string) bool {
+		if p.i < len(p.b) && strings.IndexByte(set, p.b[p.i]) >= 0 {
+			p.i++
+			return true
+		}
+		return false
+	}
+	next("-")
+	if !next("0") && !digits() || next(".") && !digits() {
 		return "", p.fail("no number")
 	}
-	return text, nil
+	if next("eE") {
+		next("+-")
+		if !digits() {
+			return "", p.fail("no number")
+		}
+	}
+	return string(p.b[from:p.i]), nil
 }
 
 func (p *parser) skip(depth int) error {
--- /dev/null
+++ b/internal/platform/lines/lines_test.go
@@ -0,0 +1,99 @@
+package lines
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+	"unicode/utf8"
+)
+
+func TestSetup(t *testing.T) {
+	var m Message
+	err := Parse([]byte(`{"type":"setup","id":"9b1f03aa5c7e2d41","new":[1,{"a":null}],"fields":{"class":"paid","left":1500,`+
+		`"extras":"home:4;copies:3"},"sdp":"9d\r\nc=\u00e9\ud83d\ude00\/\"\n"}`+"\r\n"), &m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	id, ok := ID(m.ID)
+	left, _ := m.Get("left")
+	if m.Type != "setup" || !ok || id != 0x9b1f03aa5c7e2d41 || left != "1500" || m.Cause != -1 ||
+		m.SDP != "9d\r\nc=é😀/\"\n" || !m.HasSDP {
+		t.Fatalf("%+v", m)
+	}
+	if _, there := m.Get("tenant"); there {
+		t.Fatal("a field that is not there was found")
+	}
+}
+
+func TestLinesThatCantBeRead(t *testing.T) {
+	for _, line := range []string{"", "hello", "[]", "{", `{"type":"setup"`, `{"type":"setup"} x`, `{"id":"1"}`, `{"type":1}`,
+		`{"type":"a","type":"a"}`, `{"type":"a","cause":1e9}`, `{"type":"a","cause":-1}`, `{"type":"a","cause":"16"}`,
+		`{"type":"a","fields":{"x":{}}}`, `{"type":"a","fields":{"x":"1","x":"2"}}`, `{"type":"a","fields":{"x":NaN}}`,
+		`{"type":"a","fields":[]}`, `{"type":"a","sdp":"\ud800"}`, `{"type":"a","sdp":"\x"}`, "{\"type\":\"a\",\"sdp\":\"\xff\"}",
+		`{"type":"a","sdp":"no end}`, `{"type":"a","y":` + strings.Repeat("[", 100) + strings.Repeat("]", 100) + "}",
+		`{"type":"a",}`, `{"type" "a"}`, `{"type":"a","y":+1}`, `{"type":"a","y":01}`, `{"type":"a","y":1.}`,
+		`{"type":"a","y":1e}`, `{"type":"a","y":-}`, `{"type":"a","y":.5}`} {
+		var m Message
+		if err := Parse([]byte(line), &m); !errors.Is(err, ErrSpoilt) {
+			t.Errorf("%q: %v", line, err)
+		}
+	}
+}
+
+func TestIDsAreSixteenLowerHexDigits(t *testing.T) {
+	for _, s := range []string{"", "1", "9b1f03aa5c7e2d4", "9b1f03aa5c7e2d411", "9B1F03AA5C7E2D41", "9b1f03aa5c7e2d4g", "-b1f03aa5c7e2d41"} {
+		if _, ok := ID(s); ok {
+			t.Errorf("%q is taken", s)
+		}
+	}
+}
+
+// What is written can be read by any JSON parser, and by this one, unchanged.
+func FuzzDescriptions(f *testing.F) {
+	f.Add("v=0\r\nc=IN \"x\" \\ \x01 é", uint64(0x9b1f03aa5c7e2d41))
+	f.Fuzz(func(t *testing.T, sdp string, id uint64) {
+		if !utf8.ValidString(sdp) {
+			return
+		}
+		line := AppendAnswer(nil, id, []byte(sdp))
+		var std struct{ Type, ID, SDP string }
+		var m Message
+		if err := errors.Join(json.Unmarshal(line, &std), Parse(line, &m)); err != nil {
+			t.Fatalf("%q: %v", line, err)
+		}
+		got, ok := ID(m.ID)
+		if std.SDP != sdp || m.SDP != sdp || !ok || got != id || std.ID != m.ID || strings.Count(string(line), "\n") != 1 {
+			t.Fatalf("%q became %q and %q", sdp, std.SDP, m.SDP)
+		}
+	})
+}
+
+// The parser takes nothing that the standard library turns down.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"type":"release","id":"9b1f03aa5c7e2d41","fields":{"wait":"100"},"cause":34}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var m Message
+		if Parse(b, &m) == nil && !json.Valid(b) {
+			for _, c := range b { // raw control characters in a string are taken, as viewers send them
+				if c < 0x20 {
+					return
+				}
+			}
+			t.Fatalf("%q is taken", b)
+		}
+	})
+}
+
+func TestReleaseCarriesAdvice(t *testing.T) {
+	var m Message
+	if err := Parse(AppendRelease(nil, 1, 42, 999.6), &m); err != nil {
+		t.Fatal(err)
+	}
+	if w, _ := m.Get("wait"); w != "1000" || m.Cause != 42 {
+		t.Fatalf("%+v", m)
+	}
+	if err := Parse(AppendRelease(nil, 1, 47, 0), &m); err != nil || len(m.Fields) != 0 {
+		t.Fatalf("%+v, %v", m, err)
+	}
+}
--- /dev/null
+++ b/internal/platform/names/names_test.go
@@ -0,0 +1,105 @@
+package names
+
+import (
+	"errors"
+	"testing"
+
+	"golang.org/x/net/dns/dnsmessage"
+
+	"headmill/decide/fleet"
+)
+
+var words = Words{Zones: []string{"east", "west"}, Kinds: []string{"std", "big"}}
+
+// datagram packs an answer; change may spoil it before.
+func datagram(t *testing.T, change func(*dnsmessage.Message)) []byte {
+	t.Helper()
+	name := dnsmessage.MustNewName
+	h := func(n string) dnsmessage.ResourceHeader {
+		return dnsmessage.ResourceHeader{Name: name(n), Class: dnsmessage.ClassINET}
+	}
+	q := "_api._tcp.svc.local."
+	m := dnsmessage.Message{Header: dnsmessage.Header{ID: 77, Response: true},
+		Answers: []dnsmessage.Resource{
+			{Header: h(q), Body: &dnsmessage.SRVResource{Weight: 40, Port: 5080, Target: name("s-1.east.hosts.")}},
+			{Header: h(q), Body: &dnsmessage.SRVResource{Priority: 1, Weight: 15, Port: 5081, Target: name("s-2.west.hosts.")}}},
+		Authorities: []dnsmessage.Resource{{Header: h("svc.local."), Body: &dnsmessage.SOAResource{NS: name("ns."), MBox: name("m."), Serial: 41}}},
+		Additionals: []dnsmessage.Resource{
+			{Header: h("s-1.east.hosts."), Body: &dnsmessage.AResource{A: [4]byte{10, 1, 0, 9}}},
+			{Header: h("s-1.east.hosts."), Body: &dnsmessage.TXTResource{TXT: []string{"kind=std", "cell=2", "started=0"}}},
+			{Header: h("s-2.west.hosts."), Body: &dnsmessage.AResource{A: [4]byte{10, 1, 0, 8}}},
+			{Header: h("s-2.west.hosts."), Body: &dnsmessage.TXTResource{TXT: []string{"kind=big", "cell=3", "started=1700000000500"}}}}}
+	if change != nil {
+		change(&m)
+	}
+	b, err := m.Pack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func TestAnswer(t *testing.T) {
+	b := datagram(t, nil)
+	if id, ok := ID(b); id != 77 || !ok {
+		t.Fatalf("id %d, %v", id, ok)
+	}
+	m, err := Answer(b, words)
+	if err != nil || m.Version != 41 || !m.Full || len(m.Entries) != 2 {
+		t.Fatalf("%+v, %v", m, err)
+	}
+	want := []fleet.Entry{{Name: "s-1", Addr: "10.1.0.9:5080", State: "ready", Cell: 2, Weight: 4},
+		{Name: "s-2", Addr: "10.1.0.8:5081", State: "draining", Cell: 3, Kind: 1, Zone: 1, Weight: 1.5, SinceMs: 1700000000500}}
+	for i := range want {
+		if m.Entries[i] != want[i] {
+			t.Errorf("%+v, want %+v", m.Entries[i], want[i])
+		}
+	}
+}
+
+// Half a list would look like media nodes that are gone, so such an answer counts as none.
+func TestAnswersThatCantBeUsed(t *testing.T) {
+	for name, change := range map[string]func(*dnsmessage.Message){
+		"failure":      func(m *dnsmessage.Message) { m.RCode = dnsmessage.RCodeServerFailure },
+		"cut short":    func(m *dnsmessage.Message) { m.Truncated = true },
+		"no address":   func(m *dnsmessage.Message) { m.Additionals = m.Additionals[1:] },
+		"no text":      func(m *dnsmessage.Message) { m.Additionals = m.Additionals[:3] },
+		"no serial":    func(m *dnsmessage.Message) { m.Authorities = nil },
+		"no hosts":     func(m *dnsmessage.Message) { m.Answers = nil },
+		"unknown kind": func(m *dnsmessage.Message) { m.Additionals[1].Body.(*dnsmessage.TXTResource).TXT[0] = "kind=x" },
+		"unknown zone": func(m *dnsmessage.Message) {
+			m.Answers[0].Body.(*dnsmessage.SRVResource).Target = dnsmessage.MustNewName("s-1.up.")
+		},
+		"cell no digit": func(m *dnsmessage.Message) { m.Additionals[1].Body.(*dnsmessage.TXTResource).TXT[1] = "cell=x" },
+	} {
+		if _, err := Answer(datagram(t, change), words); !errors.Is(err, ErrAnswer) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	whole := datagram(t, nil)
+	for n := range whole {
+		if _, err := Answer(whole[:n], words); err == nil {
+			t.Errorf("the first %d of %d bytes are taken", n, len(whole))
+		}
+	}
+}
+
+func TestKnownIsJoined(t *testing.T) {
+	k, err := ParseKnown([]byte(`{"no":4,"items":[
+		{"no":1,"roster":{"whole":true,"hosts":[{"host":"a","dial":"10.0.0.1:1","site":"east","class":"std","block":0,"health":"in_service","share":1,"born_ms":0},
+			{"host":"b","dial":"10.0.0.2:1","site":"west","class":"big","block":1,"health":"in_service","share":1,"born_ms":0}]}},
+		{"no":2},
+		{"no":4,"roster":{"whole":false,"hosts":[{"host":"b","dial":"10.0.0.2:1","site":"west","class":"big","block":1,"health":"terminating","share":1,"born_ms":9}]}}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := k.Message(words)
+	if err != nil || m.Version != 4 || len(m.Entries) != 2 || m.Entries[0].State != "ready" || m.Entries[1].State != "draining" ||
+		m.Entries[1].SinceMs != 9 {
+		t.Fatalf("%+v, %v", m, err)
+	}
+	k.Items[0].Roster.Hosts[0].Health = "asleep"
+	if _, err := k.Message(words); err == nil {
+		t.Fatal("a state that is not known is taken")
+	}
+}
--- /dev/null
+++ b/internal/platform/node/node_test.go
@@ -0,0 +1,405 @@
+package node
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"headmill/internal/platform/frame"
+)
+
+func TestSessionFromSetupToItsEnd(t *testing.T) {
+	r := startRig(t, 2, nil)
+	v := r.call()
+	v.say(`{"type":"ping","id":"x","fields":{},"cause":0}`)
+	if p := v.hear(); p.Type != "pong" || p.Cause != 1 || p.ID != "x" {
+		t.Fatalf("test: %+v", p)
+	}
+	v.ask(id1, "paid", "2;top:1")
+	m, s := r.setup()
+	if s.id != 0xa1 || s.class != "paid" || s.rung != "1" || s.sdp != "o\r\n\""+id1+"\"" {
+		t.Fatalf("set-up: %+v", s)
+	}
+	s.answer("v=0\r\n\"é\"")
+	if a := v.hear(); a.Type != "answer" || a.ID != id1 || a.SDP != "v=0\r\n\"é\"" {
+		t.Fatalf("answer: %+v", a)
+	}
+	s.release(causeClear)
+	if a := v.hear(); a.Type != "release" || a.ID != id1 || a.Cause != causeClear {
+		t.Fatalf("end: %+v", a)
+	}
+	m.want(frame.Released)
+}
+
+// A session belongs to no connection: its end goes out on another one where its own is closed.
+func TestEndOnAnotherConnection(t *testing.T) {
+	r := startRig(t, 1, nil)
+	a, b := r.call(), r.call()
+	r.plays(b, id2)
+	_, s1 := r.plays(a, id1)
+	a.c.Close()
+	s1.release(causeReset)
+	if e := b.hear(); e.Type != "release" || e.ID != id1 || e.Cause != causeReset {
+		t.Fatalf("%+v", e)
+	}
+}
+
+// With no connection at all the release is kept until one proves itself.
+func TestEndIsKeptUntilAConnectionStands(t *testing.T) {
+	r := startRig(t, 1, nil)
+	a := r.call()
+	_, s1 := r.plays(a, id1)
+	a.c.Close()
+	b := r.call()
+	s1.release(causeClear)
+	r.wait("the release is not kept", func(Stats) bool {
+		ch := make(chan int, 1)
+		r.l.Post(func() { ch <- len(r.n.owed) })
+		return <-ch == 1
+	})
+	b.ask(id2, "free", "1;top:0")
+	_, s2 := r.setup()
+	s2.answer("x")
+	got := map[string]string{}
+	for range 2 {
+		e := b.hear()
+		got[e.ID] = e.Type
+	}
+	if got[id1] != "release" || got[id2] != "answer" {
+		t.Fatalf("%v", got)
+	}
+}
+
+// What the module gives up is answered at once, with a time to come back.
+func TestRefusalComesAtOnceWithAdvice(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	began := time.Now()
+	v.ask(id1, "paid", "1;top:0")
+	_, s := r.setup()
+	s.release(causeFull)
+	e := v.hear()
+	if e.Type != "release" || e.Cause != causeCongested || e.Fields["wait"] != "700" {
+		t.Fatalf("%+v", e)
+	}
+	if d := time.Since(began); d > 2*time.Second {
+		t.Fatalf("after %v of 3 s: it was sat on", d)
+	}
+}
+
+// Errors and breaks prove nothing: the paid class gets no promise, and no second attempt.
+func TestPaidSetupThatMayHaveRunIsNeverRepeated(t *testing.T) {
+	for name, spoil := range map[string]func(*media, seen){
+		"error": func(_ *media, s seen) { s.release(causeError) },
+		"reset": func(m *media, _ seen) { m.cut() },
+		"noise": func(_ *media, s seen) { s.c.Write([]byte{0, 9, 99, 1, 2, 3}) },
+		"claim": func(_ *media, s seen) { s.c.Write([]byte{0xff, 0xff, 9}) },
+		"short": func(_ *media, s seen) { s.c.Write([]byte{0, 40, 9, 0}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := startRig(t, 2, nil)
+			v := r.call()
+			v.ask(id1, "paid", "2;top:0")
+			m, s := r.setup()
+			spoil(m, s)
+			if e := v.hear(); e.Type != "release" || e.Cause != causeError {
+				t.Fatalf("%+v", e)
+			}
+			if st := r.stats(); st.Attempts != 1 || st.Failed != 1 {
+				t.Fatalf("%+v", st)
+			}
+		})
+	}
+}
+
+// A connection that was refused proves that nothing ran: the paid set-up goes on to another media node.
+func TestRefusedConnectionIsAProof(t *testing.T) {
+	r := startRig(t, 2, nil)
+	r.nodes[0].ln.Close()
+	for i := range 4 { // titles start at either
+		v := r.call()
+		v.ask(fmt.Sprintf("%016x", 0xb0+i), "paid", "2;top:0")
+		m, s := r.setup()
+		if m != r.nodes[1] {
+			t.Fatal("a set-up came to a media node that does not listen")
+		}
+		s.answer("x")
+		if e := v.hear(); e.Type != "answer" {
+			t.Fatalf("%+v", e)
+		}
+	}
+}
+
+// An answer that is not the open attempt's is passed over: an unknown id, a second copy.
+func TestMoreThanIsTheirs(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	v.ask(id1, "paid", "1;top:0")
+	_, s := r.setup()
+	other := s
+	other.id = 0xdead
+	other.answer("not yours")
+	s.answer("yours")
+	s.answer("yours")
+	if e := v.hear(); e.Type != "answer" || e.SDP != "yours" {
+		t.Fatalf("%+v", e)
+	}
+	s.release(causeClear)
+	if e := v.hear(); e.Type != "release" || e.Cause != causeClear {
+		t.Fatalf("a second answer: %+v", e)
+	}
+}
+
+// A viewer that stops waiting: the media node is told, and the director forgets.
+func TestWithdrawnSetupIsGivenUp(t *testing.T) {
+	for name, leave := range map[string]func(*caller){
+		"release": func(c *caller) { c.say(`{"type":"release","id":"%s","fields":{},"cause":16}`, id1) },
+		"close":   func(c *caller) { c.c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := startRig(t, 1, nil)
+			v := r.call()
+			v.ask(id1, "paid", "1;top:0")
+			m, s := r.setup()
+			leave(v)
+			if e := m.want(frame.Release); e.id != 0xa1 || e.cause != causeClear {
+				t.Fatalf("%+v", e)
+			}
+			s.answer("too late")
+			r.wait("a session stands that nobody waits for", func(st Stats) bool { return st.Left == 1 && st.Played == 0 })
+		})
+	}
+}
+
+// A viewer ends a session that stands: the media node is told, its last word is not passed back.
+func TestViewerEndsItsSession(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	m, s := r.plays(v, id1)
+	v.say(`{"type":"release","id":"%s","fields":{},"cause":16}`, id1)
+	if e := v.hear(); e.Type != "released" {
+		t.Fatalf("%+v", e)
+	}
+	m.want(frame.Release)
+	s.release(causeCancelled)
+	v.say(`{"type":"ping","id":"x","fields":{},"cause":0}`)
+	if e := v.hear(); e.Type != "pong" {
+		t.Fatalf("the viewer ended it and is told again: %+v", e)
+	}
+}
+
+// The start's sessions name a time that no class has; they are taken, and end as others do.
+func TestSessionsOfTheStart(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	v.say(`{"type":"setup","id":"%s","fields":{"class":"free","left":"4294967","tenant":"acme","key":"7f3a9c21e0b4d655","extras":"home:0;copies:1;top:1;at:s-0"},"sdp":"x"}`, id1)
+	r.wait("not taken", func(st Stats) bool { return st.Opened == 1 })
+	// A director that holds sessions at a media node keeps a connection there, on which their ends come.
+	for late := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		r.nodes[0].mu.Lock()
+		n := len(r.nodes[0].conns)
+		if n > 0 {
+			r.nodes[0].conns[0].Write(frame.AppendRelease(nil, 0xa1, causeClear))
+		}
+		r.nodes[0].mu.Unlock()
+		if n > 0 {
+			break
+		}
+		if time.Now().After(late) {
+			t.Fatal("no connection to the media node that the session plays at")
+		}
+	}
+	if e := v.hear(); e.Type != "release" || e.ID != id1 || e.Cause != causeClear {
+		t.Fatalf("%+v", e)
+	}
+	v.say(`{"type":"setup","id":"%s","fields":{"class":"free","left":"4294967","tenant":"acme","key":"7f3a9c21e0b4d655","extras":"home:0;copies:1;top:1;at:s-77"},"sdp":"x"}`, id2)
+	if e := v.hear(); e.Type != "release" || e.ID != id2 || e.Cause != causeReset {
+		t.Fatalf("a session at no listed media node: %+v", e)
+	}
+}
+
+// A process that died cuts its sessions: viewers are told, so that they come again.
+func TestSessionsOfADeadMediaNode(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	m, _ := r.plays(v, id1)
+	m.ln.Close()
+	m.cut()
+	if e := v.hear(); e.Type != "release" || e.ID != id1 || e.Cause != causeReset {
+		t.Fatalf("%+v", e)
+	}
+}
+
+// A connection that breaks says nothing of the sessions that stand.
+func TestSessionsOutliveAConnection(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	m, _ := r.plays(v, id1)
+	m.cut()
+	v.ask(id2, "free", "1;top:0")
+	_, s2 := r.setup()
+	s2.id = 0xa1
+	s2.release(causeClear) // its end comes on the next connection
+	if e := v.hear(); e.ID != id1 || e.Cause != causeClear {
+		t.Fatalf("%+v", e)
+	}
+}
+
+// An id in use: a newcomer on another connection is turned away and harms nobody.
+func TestIDInUse(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v, rude := r.call(), r.call()
+	v.ask(id1, "paid", "1;top:0")
+	_, s := r.setup()
+	rude.ask(id1, "paid", "1;top:1")
+	if e := rude.hear(); e.Type != "release" || e.Cause != causeInvalid {
+		t.Fatalf("%+v", e)
+	}
+	s.answer("x")
+	if e := v.hear(); e.Type != "answer" {
+		t.Fatalf("%+v", e)
+	}
+	rude.ask(id1, "paid", "1;top:1")
+	if e := rude.hear(); e.Type != "release" {
+		t.Fatalf("%+v", e)
+	}
+	s.release(causeClear)
+	if e := v.hear(); e.Type != "release" || e.Cause != causeClear {
+		t.Fatalf("%+v", e)
+	}
+}
+
+// Two requests under one number on one connection: neither goes on, one answer.
+func TestTwoUnderOneID(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	v.ask(id1, "paid", "1;top:0")
+	m, s := r.setup()
+	v.ask(id1, "paid", "1;top:1")
+	if e := v.hear(); e.Type != "release" || e.Cause != causeInvalid {
+		t.Fatalf("%+v", e)
+	}
+	m.want(frame.Release)
+	s.answer("x")
+	v.say(`{"type":"ping","id":"x","fields":{},"cause":0}`)
+	if e := v.hear(); e.Type != "pong" {
+		t.Fatalf("a second answer: %+v", e)
+	}
+}
+
+// Figures that no settings know are turned down, and the connection goes on.
+func TestSetupsThatCantBeUsed(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	good := `{"type":"setup","id":"` + id1 + `","fields":{"class":"paid","left":"3000","tenant":"acme","key":"7f3a9c21e0b4d655","extras":"home:0;copies:1;top:1"},"sdp":"x"}`
+	for _, change := range [][2]string{{`"paid"`, `"gold"`}, {`"acme"`, `"none"`}, {`"3000"`, `"nan"`}, {`"3000"`, `-5`}, {`"3000"`, `1e12`},
+		{`"3000"`, `"+Inf"`}, {`home:0`, `home:99`}, {`copies:1`, `copies:0`}, {`top:1`, `top:1.5`}, {`top:1`, `tip:1`},
+		{`7f3a9c21e0b4d655`, `zz`}, {`"sdp":"x"`, `"sdp":""`}, {`,"sdp":"x"`, ``}, {`"left":"3000",`, ``}} {
+		line := strings.Replace(good, change[0], change[1], 1)
+		if line == good {
+			t.Fatalf("%v changes nothing", change)
+		}
+		v.say("%s", line)
+		if e := v.hear(); e.Type != "release" || e.Cause == causeFull || e.Cause == causeCongested || e.Cause == causeMoot {
+			t.Errorf("%v: %+v", change, e)
+		}
+	}
+	if st := r.stats(); st.Asked != 0 || st.Attempts != 0 {
+		t.Fatalf("a bad set-up reached the module: %+v", st)
+	}
+}
+
+// What can't be read, is too long, never ends or never begins closes its connection.
+func TestRudeConnectionsAreClosed(t *testing.T) {
+	r := startRig(t, 1, nil)
+	for name, b := range map[string]string{"noise": "\x16\x03\x01\x02\n", "too long": strings.Repeat("x", 40000),
+		"id": `{"type":"setup","id":"-1","fields":{}}` + "\n", "silent": "", "no end": `{"type":"setup"`} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			v := r.call()
+			fmt.Fprint(v.c, b)
+			v.closed()
+		})
+	}
+}
+
+// At the bound silent connections make room for those that ask.
+func TestSilentConnectionsMakeRoom(t *testing.T) {
+	r := startRig(t, 1, func(c *Config) { c.Sockets = 64 })
+	var silent []net.Conn
+	for range 40 {
+		c, err := net.Dial("tcp4", r.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		silent = append(silent, c)
+	}
+	v := r.call()
+	v.ask(id1, "free", "1;top:0")
+	_, s := r.setup()
+	s.answer("x")
+	if e := v.hear(); e.Type != "answer" {
+		t.Fatalf("%+v", e)
+	}
+	silent[0].SetReadDeadline(time.Now().Add(patience))
+	_, err := silent[0].Read(make([]byte, 1))
+	if ne, ok := err.(net.Error); err == nil || ok && ne.Timeout() {
+		t.Fatalf("the first silent connection is still there: %v", err)
+	}
+}
+
+// A module that waits for an attempt that is never made would hold its place for good.
+func TestLeavingInTheRoundOfAsking(t *testing.T) {
+	r := startRig(t, 1, nil)
+	for i := range 50 { // more than the 20 places
+		v := r.call()
+		id := fmt.Sprintf("%016x", 0xc00+i)
+		fmt.Fprintf(v.c, `{"type":"setup","id":"%s","fields":{"class":"free","left":"3000","tenant":"acme","key":"7f3a9c21e0b4d655","extras":"home:0;copies:1;top:0"},"sdp":"x"}`+"\n"+
+			`{"type":"release","id":"%s","fields":{},"cause":16}`+"\n", id, id)
+		if e := v.hear(); e.Type != "released" {
+			t.Fatalf("%+v", e)
+		}
+	}
+	v := r.call()
+	v.ask(id1, "free", "1;top:0")
+	for {
+		_, s := r.setup()
+		if s.id == 0xa1 {
+			s.answer("x")
+			break
+		}
+	}
+	if e := v.hear(); e.Type != "answer" {
+		t.Fatalf("%+v", e)
+	}
+}
+
+// The name service moves: the new address is asked, and what it tells counts.
+func TestReload(t *testing.T) {
+	r := startRig(t, 1, nil)
+	other, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	fresh := *r.cfg
+	fresh.DNS = other.LocalAddr().String()
+	r.n.Reload(&fresh)
+	b := make([]byte, 512)
+	other.SetReadDeadline(time.Now().Add(patience))
+	if _, _, err := other.ReadFromUDP(b); err != nil {
+		t.Fatalf("the new address is not asked: %v", err)
+	}
+	bad := *r.cfg
+	bad.DNS = "nowhere"
+	r.n.Reload(&bad)
+	other.SetReadDeadline(time.Now().Add(patience))
+	for range 3 {
+		if _, _, err := other.ReadFromUDP(b); err != nil {
+			t.Fatalf("an address that can't be used ends the asking: %v", err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/node/rig_test.go
@@ -0,0 +1,282 @@
+package node
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"headmill/internal/loop"
+	"headmill/internal/platform/frame"
+)
+
+const patience = 10 * time.Second // for what must come; a test that waits so long has failed
+
+// media is one media node: what comes goes to the test, which says what is written.
+type media struct {
+	t     *testing.T
+	ln    net.Listener
+	name  string
+	got   chan seen
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// seen is a message with the connection that it came on.
+type seen struct {
+	typ              frame.Type
+	id               uint64
+	class, rung, sdp string
+	cause            byte
+	c                net.Conn
+}
+
+func startMedia(t *testing.T, name string) *media {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &media{t: t, ln: ln, name: name, got: make(chan seen, 1000)}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			m.mu.Lock()
+			m.conns = append(m.conns, c)
+			m.mu.Unlock()
+			go m.read(c)
+		}
+	}()
+	t.Cleanup(func() { ln.Close(); m.cut() })
+	return m
+}
+
+func (m *media) read(c net.Conn) {
+	var r frame.Reader
+	b := make([]byte, 4096)
+	for {
+		n, err := c.Read(b)
+		if err != nil {
+			return
+		}
+		if err := r.Feed(b[:n], func(x *frame.Message) bool {
+			m.got <- seen{x.Type, x.Session, string(x.Get(frame.Class)), string(x.Get(frame.Rung)), string(x.Get(frame.SDP)), x.Cause(), c}
+			return true
+		}); err != nil {
+			m.t.Errorf("%s got what it can't read: %v", m.name, err)
+			return
+		}
+	}
+}
+
+// cut resets all connections.
+func (m *media) cut() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range m.conns {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+	m.conns = nil
+}
+
+// want waits for the next message of a type; others are passed over.
+func (m *media) want(typ frame.Type) seen {
+	m.t.Helper()
+	for late := time.After(patience); ; {
+		select {
+		case s := <-m.got:
+			if s.typ == typ {
+				return s
+			}
+		case <-late:
+			m.t.Fatalf("%s: no message of type %d came", m.name, typ)
+		}
+	}
+}
+
+func (s seen) answer(sdp string) {
+	out, at := frame.Begin(nil, frame.Answer, s.id)
+	s.c.Write(frame.End(frame.Add(out, frame.SDP, sdp), at))
+}
+
+func (s seen) release(cause byte) { s.c.Write(frame.AppendRelease(nil, s.id, cause)) }
+
+// rig is a director with its media nodes, each alone in its cell; every title is held by all.
+type rig struct {
+	t     *testing.T
+	n     *Node
+	l     *loop.Loop
+	addr  string
+	nodes []*media
+	dns   *net.UDPConn
+	cfg   *Config
+}
+
+func startRig(t *testing.T, nodes int, change func(*Config)) *rig {
+	t.Helper()
+	r := &rig{t: t}
+	dns, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { dns.Close() })
+	r.dns = dns
+	var hosts []string
+	for i := range nodes {
+		m := startMedia(t, fmt.Sprintf("s-%d", i))
+		r.nodes = append(r.nodes, m)
+		hosts = append(hosts, fmt.Sprintf(`{"host":"%s","dial":"%s","site":"east","class":"std","block":%d,"health":"in_service","share":1,"born_ms":0}`,
+			m.name, m.ln.Addr(), i))
+	}
+	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","dns":"%s",
+		"limits":{"cores":1,"memory_mb":64,"sockets":256},
+		"known":{"no":1,"items":[{"no":1,"roster":{"whole":true,"hosts":[%s]}}]},
+		"settings":{"me":0,"replicas_of_me":1,"zone":0,"dcs":["east","west"],"skus":["std"],"discovery":"automatic",
+		"allowed":{"max_attempts":3,"retry_after":true,"max_retry_after_ms":700,"connect_timeout_ms":250},
+		"categories":[{"name":"paid","give_up_ms":3000,"slo_ms":1000,"semantics":"once","value":3},
+			{"name":"free","give_up_ms":3000,"slo_ms":1000,"semantics":"repeatable","value":1}],
+		"tenants":[{"name":"acme"}],
+		"feedback":{"source":"inline","fields":["outstanding","x0","x1"]},
+		"family_info":{"level_kb":[100,200],"ladder_worth":[0.5,1],"cells":%d,"racks":1,"places_by_kind":[20],
+			"all_links_kb":%d,"uplink_kb":100000,"link_unit_kb":1000,"scale_by_class":[1,1],"floor_by_class":[0,0],
+			"top_by_class":[1,1],"class_seats":[0,0],"switch_s":0.5,"tell_ms":2500,"told_late_ms":1000},
+		"safety":{"warm_within_ms":1000,"cold_from":0.4,"answer_slack_ms":40}}}`,
+		dns.LocalAddr(), strings.Join(hosts, ","), nodes, nodes*1000)
+	if r.cfg, err = Parse([]byte(text)); err != nil {
+		t.Fatal(err)
+	}
+	if change != nil {
+		change(r.cfg)
+	}
+	if r.l, err = loop.New(); err != nil {
+		t.Fatal(err)
+	}
+	if r.n, err = New(r.cfg, r.l, slog.New(slog.NewTextHandler(io.Discard, nil))); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.n.Start(); err != nil {
+		t.Fatal(err)
+	}
+	r.addr = r.n.Addr()
+	done := make(chan struct{})
+	go func() { r.l.Run(); close(done) }()
+	t.Cleanup(func() { r.l.Stop(); <-done })
+	return r
+}
+
+// stats asks for the counters on the loop's goroutine.
+func (r *rig) stats() Stats {
+	ch := make(chan Stats, 1)
+	r.l.Post(func() { ch <- r.n.stats })
+	return <-ch
+}
+
+// setup waits for a set-up at any media node.
+func (r *rig) setup() (*media, seen) {
+	r.t.Helper()
+	for late := time.Now().Add(patience); time.Now().Before(late); {
+		for _, m := range r.nodes {
+			select {
+			case s := <-m.got:
+				if s.typ == frame.Setup {
+					return m, s
+				}
+			default:
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+	r.t.Fatal("no set-up came to any media node")
+	return nil, seen{}
+}
+
+// caller is one connection from viewers.
+type caller struct {
+	t *testing.T
+	c net.Conn
+	r *bufio.Reader
+}
+
+func (r *rig) call() *caller {
+	r.t.Helper()
+	c, err := net.Dial("tcp4", r.addr)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { c.Close() })
+	return &caller{r.t, c, bufio.NewReader(c)}
+}
+
+func (c *caller) say(format string, a ...any) { fmt.Fprintf(c.c, format+"\n", a...) }
+
+func (c *caller) ask(id, class, extras string) {
+	c.say(`{"type":"setup","id":"%s","fields":{"class":"%s","left":"3000","tenant":"acme","key":"7f3a9c21e0b4d655","extras":"home:0;copies:%s"},"sdp":"o\r\n\"%s\""}`,
+		id, class, extras, id)
+}
+
+type reply struct {
+	Type, ID, SDP string
+	Cause         int
+	Fields        map[string]string
+}
+
+// hear waits for the next line.
+func (c *caller) hear() reply {
+	c.t.Helper()
+	c.c.SetReadDeadline(time.Now().Add(patience))
+	line, err := c.r.ReadString('\n')
+	var v reply
+	if err == nil {
+		err = json.Unmarshal([]byte(line), &v)
+	}
+	if err != nil {
+		c.t.Fatalf("line %q: %v", line, err)
+	}
+	return v
+}
+
+// closed waits for the connection's end; what is written before it is returned.
+func (c *caller) closed() string {
+	c.t.Helper()
+	c.c.SetReadDeadline(time.Now().Add(patience))
+	b, err := io.ReadAll(c.r)
+	if ne, ok := err.(net.Error); ok && ne.Timeout() {
+		c.t.Fatal("the connection stays open")
+	}
+	return string(b)
+}
+
+const (
+	id1 = "00000000000000a1"
+	id2 = "00000000000000a2"
+)
+
+func (r *rig) wait(what string, f func(Stats) bool) {
+	r.t.Helper()
+	for late := time.Now().Add(patience); !f(r.stats()); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(late) {
+			r.t.Fatalf("%s: %+v", what, r.stats())
+		}
+	}
+}
+
+// plays brings a session to stand.
+func (r *rig) plays(v *caller, id string) (*media, seen) {
+	r.t.Helper()
+	v.ask(id, "free", "1;top:0")
+	m, s := r.setup()
+	s.answer("x")
+	if e := v.hear(); e.Type != "answer" || e.ID != id {
+		r.t.Fatalf("not set up: %+v", e)
+	}
+	return m, s
+}
