--- a/controller.go
+++ b/controller.go
@@ -40,7 +40,6 @@
 	fullMs       = 1000.0  // ms for which a server that answered full fails the test
 	staleTo      = 0.8     // load to which an old measurement above it fades: low rungs are tried there again
 	staleFadeMs  = 3000.0  // ms in which it fades by two thirds
-	setUpNoteMs  = 20.0    // ms after a session's start within which a note on it is the set-up's own
 	spareMs      = 1000.0  // ms past the told interval and lateness after which a measurement is old
 	streamFadeMs = 15000.0 // ms in which told streams of others fade by two thirds: sessions end unseen
 	farLoad      = 0.1     // load that a near holder may have over a far one: crossing zones has a price
@@ -799,8 +798,8 @@
 		return
 	}
 	at := c.now - c.cfg.ToldLateMs
-	if s != nil && (!s.playing || c.now-s.playedAt <= setUpNoteMs) {
-		at = c.now // told at set-up, with EvPlaying or right after it: it is of now and includes the session
+	if s != nil && (!s.playing || s.playedAt == c.now) {
+		at = c.now // told at set-up, in the batch of EvPlaying: it is of now and includes the session
 	}
 	switch ev.Note {
 	case NoteRung:
