A director checks its name and address, and leaves a media node's old address

Need: PROXY_NAME and PROXY_LISTEN must agree with the configuration; a media node is its id, so when its address changes nothing more goes to where it was (take kept pooled connections there). node in deploy/balancer.toml names the whole program. Checked: TestChangedAddress; a configuration of another name ends the start with the key.

--- a/cmd/headmill/node.go
+++ b/cmd/headmill/node.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 
 	"headmill/internal/loop"
@@ -14,6 +15,8 @@
 )
 
 type nodeCmd struct {
+	Name   string `env:"PROXY_NAME" help:"Must agree with the configuration's name where it is given."`
+	Listen string `env:"PROXY_LISTEN" help:"Must agree with the configuration's listen where it is given."`
 	Config string `env:"PROXY_CONFIG" required:"" help:"The platform's configuration of this director (JSON)."`
 	Log    string `default:"info" help:"Lowest level that is logged: debug, info, warn, error."`
 }
@@ -24,6 +27,11 @@
 	if err != nil {
 		return err
 	}
+	for _, f := range [][3]string{{"name", cfg.Name, c.Name}, {"listen", cfg.Listen, c.Listen}} {
+		if f[2] != "" && f[1] != f[2] { // one director must not take another's place
+			return fmt.Errorf("%s: %s is %q, PROXY_%s says %q", c.Config, f[0], f[1], strings.ToUpper(f[0]), f[2])
+		}
+	}
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(c.Log)); err != nil {
 		return fmt.Errorf("--log: %q is not debug, info, warn or error", c.Log)
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -226,7 +226,8 @@
 		for i := range m.Entries {
 			e := &m.Entries[i]
 			if b := n.boxes[fleet.Named(e.Name)]; b != nil && b.addr != e.Addr {
-				b.addr = e.Addr // a connection that is open stays with the process that it reached
+				b.addr = e.Addr
+				b.shut() // they reach what was there before; one that carries a set-up ends with it
 			}
 		}
 	}
--- a/internal/platform/node/node_test.go
+++ b/internal/platform/node/node_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"headmill/decide/fleet"
 	"headmill/internal/platform/frame"
 )
 
@@ -403,3 +404,25 @@
 		}
 	}
 }
+
+// A media node is its id: when its address changes, nothing more goes to where it was.
+func TestChangedAddress(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	old, _ := r.plays(v, id1)
+	moved := startMedia(t, "s-0")
+	r.l.Post(func() {
+		r.n.take(&fleet.Message{Version: 9, Full: true, Entries: []fleet.Entry{{Name: "s-0", Addr: moved.ln.Addr().String(),
+			State: "ready", Weight: 1}}})
+	})
+	r.nodes = append(r.nodes, moved)
+	v.ask(id2, "free", "1;top:0")
+	m, s := r.setup()
+	if m == old {
+		t.Fatal("a set-up went to the old address")
+	}
+	s.answer("x")
+	if e := v.hear(); e.ID != id2 || e.Type != "answer" {
+		t.Fatalf("%+v", e)
+	}
+}
