--- a/internal/platform/node/media.go
+++ b/internal/platform/node/media.go
@@ -280,6 +280,9 @@
 	if !ok || err != nil || math.IsNaN(v) || math.IsInf(v, 0) || s == nil {
 		return
 	}
+	if kind == headmill.NoteRung && s.sent == unknown {
+		s.sent = int(v)
+	}
 	k.b.n.tell(headmill.Event{Kind: headmill.EvNote, Session: s.no, Server: k.b.id, Note: kind, Value: v})
 }
 
@@ -396,9 +399,6 @@
 	t.step(attempt.Event{Kind: attempt.Whole, Status: 201})
 	s.try = nil
 	t.n.stands(s, t.n.l.Now()-t.began, sdp)
-	if s.rung != s.sent {
-		t.n.tellRung(s)
-	}
 }
 
 // released is the media node's own word on a set-up.
@@ -439,19 +439,21 @@
 		Finished: s.state == over, TookMs: n.l.Now() - t.began, Report: t.load})
 }
 
-// tellRung sends the module's rung where it is not what the media node was told last.
+// tellRung sends the module's rung where it is not what is in force or on its way. A set-up that is still to be written
+// carries it itself.
 func (n *Node) tellRung(s *session) {
-	if s.rung == s.sent && s.state != plays {
+	if s.rung == s.sent {
 		return
 	}
 	out, at := frame.Begin(nil, frame.Rate, s.id)
 	m := frame.End(frame.Add(out, frame.Rung, strconv.Itoa(s.rung)), at)
 	switch {
-	case s.state == plays && s.rung != s.sent:
-		s.sent = s.rung
+	case s.state == plays:
 		s.box.tell(m)
 	case s.state == asked && s.try != nil && s.try.wrote && s.try.k != nil:
-		s.sent = s.rung
 		s.try.k.c.Write(m)
+	default:
+		return
 	}
+	s.sent = s.rung
 }
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -51,6 +51,7 @@
 	endMs     = 400.0  // for a media node's last word on a session that its viewer ended
 	oweMs     = 8000.0 // for which a release that no connection could take is kept
 	sessionsM = 100000 // sessions at most
+	unknown   = -1     // rung of a session of the start, until its media node tells it
 )
 
 type state uint8
@@ -68,7 +69,7 @@
 	no         headmill.SessionID
 	class      int
 	state      state
-	rung, sent int
+	rung, sent int     // the module's last word; what its media node was told, or unknown
 	front      *viewer // of its set-up; nil once that connection is closed
 	className  string
 	title      string
@@ -335,7 +336,7 @@
 	}
 	n.stats.Opened++
 	s.front.keep(s)
-	s.state, s.box = plays, n.box(server)
+	s.state, s.sent, s.box = plays, unknown, n.box(server)
 	s.box.standing[s.id] = s
 	ev.Kind, ev.Server = headmill.EvExisting, server
 	n.tell(ev)
--- a/internal/platform/node/node_test.go
+++ b/internal/platform/node/node_test.go
@@ -198,27 +198,12 @@
 func TestSessionsOfTheStart(t *testing.T) {
 	r := startRig(t, 1, nil)
 	v := r.call()
-	v.say(`{"type":"setup","id":"%s","fields":{"class":"free","left":"4294967","tenant":"acme","key":"7f3a9c21e0b4d655","extras":"home:0;copies:1;top:1;at:s-0"},"sdp":"x"}`, id1)
-	r.wait("not taken", func(st Stats) bool { return st.Opened == 1 })
-	// A director that holds sessions at a media node keeps a connection there, on which their ends come.
-	for late := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
-		r.nodes[0].mu.Lock()
-		n := len(r.nodes[0].conns)
-		if n > 0 {
-			r.nodes[0].conns[0].Write(frame.AppendRelease(nil, 0xa1, causeClear))
-		}
-		r.nodes[0].mu.Unlock()
-		if n > 0 {
-			break
-		}
-		if time.Now().After(late) {
-			t.Fatal("no connection to the media node that the session plays at")
-		}
-	}
+	m := r.adopts(v, id1)
+	m.any().Write(frame.AppendRelease(nil, 0xa1, causeClear))
 	if e := v.hear(); e.Type != "release" || e.ID != id1 || e.Cause != causeClear {
 		t.Fatalf("%+v", e)
 	}
-	v.say(`{"type":"setup","id":"%s","fields":{"class":"free","left":"4294967","tenant":"acme","key":"7f3a9c21e0b4d655","extras":"home:0;copies:1;top:1;at:s-77"},"sdp":"x"}`, id2)
+	v.playing(id2, "s-77")
 	if e := v.hear(); e.Type != "release" || e.ID != id2 || e.Cause != causeReset {
 		t.Fatalf("a session at no listed media node: %+v", e)
 	}
@@ -429,3 +414,22 @@
 		t.Fatalf("%+v", e)
 	}
 }
+
+// A session of the start plays at a rung that only its media node tells. What the module sets after that must be sent,
+// be it the lowest; what is in force already must not.
+func TestRungOfASessionOfTheStart(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	m := r.adopts(v, id1)
+	s := r.standing(id1)
+	r.note(m, s.id, "level", 1)
+	r.sets(s, 0)
+	if got := m.want(frame.Rate); got.id != s.id || got.rung != "0" {
+		t.Fatalf("%+v", got)
+	}
+	r.sets(s, 0)
+	r.sets(s, 1)
+	if got := m.want(frame.Rate); got.rung != "1" {
+		t.Fatalf("an unchanged rung was sent: %+v", got)
+	}
+}
--- a/internal/platform/node/rig_test.go
+++ b/internal/platform/node/rig_test.go
@@ -12,8 +12,10 @@
 	"testing"
 	"time"
 
+	"headmill"
 	"headmill/internal/loop"
 	"headmill/internal/platform/frame"
+	"headmill/internal/platform/lines"
 )
 
 const patience = 10 * time.Second // for what must come; a test that waits so long has failed
@@ -290,3 +292,65 @@
 		return <-ch == want
 	})
 }
+
+// playing names a session that plays at a media node, as viewers do after a director's start: with a time that no
+// class has.
+func (c *caller) playing(id, at string) {
+	c.say(`{"type":"setup","id":"%s","fields":{"class":"free","left":"4294967","tenant":"acme","key":"7f3a9c21e0b4d655","extras":"home:0;copies:1;top:1;at:%s"},"sdp":"x"}`, id, at)
+}
+
+// adopts brings a session of the start to stand at the first media node.
+func (r *rig) adopts(v *caller, id string) *media {
+	r.t.Helper()
+	before := r.stats().Opened
+	v.playing(id, r.nodes[0].name)
+	r.wait("not taken", func(st Stats) bool { return st.Opened > before })
+	return r.nodes[0]
+}
+
+// any waits for a connection that the director keeps there.
+func (m *media) any() net.Conn {
+	m.t.Helper()
+	for late := time.Now().Add(patience); time.Now().Before(late); time.Sleep(time.Millisecond) {
+		m.mu.Lock()
+		if len(m.conns) > 0 {
+			defer m.mu.Unlock()
+			return m.conns[0]
+		}
+		m.mu.Unlock()
+	}
+	m.t.Fatalf("%s: the director keeps no connection", m.name)
+	return nil
+}
+
+// on runs f on the loop's goroutine and waits for it.
+func (r *rig) on(f func()) {
+	done := make(chan struct{})
+	r.l.Post(func() { f(); close(done) })
+	<-done
+}
+
+func (r *rig) standing(id string) (s *session) {
+	r.t.Helper()
+	no, _ := lines.ID(id)
+	r.on(func() { s = r.n.sessions[no] })
+	if s == nil {
+		r.t.Fatalf("no session %s", id)
+	}
+	return s
+}
+
+// sets plays the module's word on a rung.
+func (r *rig) sets(s *session, rung int) {
+	r.on(func() { r.n.fromModule(&headmill.Action{Kind: headmill.ActRung, Session: s.no, Rung: rung}) })
+}
+
+// note sends a note and waits until it has been read: the next word on the connection is answered after it.
+func (r *rig) note(m *media, id uint64, sort string, value float64) {
+	c := m.any()
+	out, at := frame.Begin(nil, frame.Note, id)
+	out = frame.End(frame.Add(frame.Add(out, frame.Sort, sort), frame.Value, fmt.Sprint(value)), at)
+	out, at = frame.Begin(out, frame.Ping, id)
+	c.Write(frame.End(frame.Add(out, frame.Cause, []byte{0}), at))
+	m.want(frame.Pong)
+}
