--- a/cmd/headmill/main_test.go
+++ b/cmd/headmill/main_test.go
@@ -521,3 +521,26 @@
 		t.Errorf("one director gone: %v %s", err, text)
 	}
 }
+
+// A director must not start on a configuration that is not there or not its own.
+func TestNodeChecksItsConfiguration(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	text := `{"name":"n0","listen":"127.0.0.1:0","seed":"1","dns":"127.0.0.1:53","known":{"no":0,"items":[]},"settings":{
+		"replicas_of_me":1,"allowed":{"max_attempts":1},"categories":[{"name":"a","give_up_ms":1000}],
+		"family_info":{"level_kb":[1],"ladder_worth":[1],"cells":1,"racks":1}}}`
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct{ file, name, listen, want string }{
+		"missing":        {file + "x", "n0", "127.0.0.1:0", "no such file"},
+		"another's name": {file, "n1", "127.0.0.1:0", "PROXY_NAME"},
+		"another's door": {file, "n0", "127.0.0.1:1", "PROXY_LISTEN"},
+	} {
+		t.Setenv("PROXY_CONFIG", c.file)
+		t.Setenv("PROXY_NAME", c.name)
+		t.Setenv("PROXY_LISTEN", c.listen)
+		if out, err := program(t, "node"); err == nil || !strings.Contains(out, c.want) {
+			t.Errorf("%s: %v, %s", name, err, out)
+		}
+	}
+}
--- a/cmd/headmill/node.go
+++ b/cmd/headmill/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"log/slog"
 	"os"
 	"os/signal"
 	"runtime"
@@ -10,6 +9,7 @@
 	"strings"
 	"syscall"
 
+	"headmill/internal/config"
 	"headmill/internal/loop"
 	"headmill/internal/platform/node"
 )
@@ -32,15 +32,15 @@
 			return fmt.Errorf("%s: %s is %q, PROXY_%s says %q", c.Config, f[0], f[1], strings.ToUpper(f[0]), f[2])
 		}
 	}
-	var level slog.Level
-	if err := level.UnmarshalText([]byte(c.Log)); err != nil {
-		return fmt.Errorf("--log: %q is not debug, info, warn or error", c.Log)
-	}
-	runtime.GOMAXPROCS(1) // a part of one core: further threads only wait for it
+	runtime.GOMAXPROCS(max(int(cfg.Cores), 1)) // of a part of a core further threads only wait for it
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(cfg.MemoryMB * 0.6 * (1 << 20))) // the rest is code, stacks and the kernel's part
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	log, flush, err := openLog(config.Log{Level: c.Log})
+	if err != nil {
+		return err
+	}
+	defer flush()
 	l, err := loop.New()
 	if err != nil {
 		return err
--- /dev/null
+++ b/decide/door/door.go
@@ -0,0 +1,174 @@
+// Package door decides which connections from viewers a director keeps: which
+// goes at the bound, which is closed for its silence or its rest, and on which
+// a word goes out that belongs to none. Sessions that stand belong to no
+// connection; set-ups do, so one that carries a set-up is never given up.
+//
+// It is pure: facts with their time (ms) go in by Step, actions come out.
+//
+//	silent   no set-up that could be read has come
+//	resting  it carries no set-up now
+//	busy     set-ups are open on it
+package door
+
+// Conn is the caller's number of a connection.
+type Conn uint32
+
+// Config has the bounds.
+type Config struct {
+	Most     int     // connections
+	SilentMs float64 // for which one may stay silent, or a message without its end
+	RestMs   float64 // for which one may rest without a byte
+}
+
+// EventKind tells which fields of an Event are set.
+type EventKind uint8
+
+// The events.
+const (
+	Came    EventKind = iota // Conn
+	Heard                    // Conn, Part: bytes came; a message waits for its rest
+	Asked                    // Conn: a set-up that could be read
+	Carries                  // Conn, Open, Stands: what it carries from now on
+	Left                     // Conn: it is closed
+	Tick
+)
+
+// Event is one fact.
+type Event struct {
+	Kind         EventKind
+	Conn         Conn
+	Part         bool
+	Open, Stands int
+}
+
+// Why is the cause of a Shut.
+type Why uint8
+
+// The causes.
+const (
+	Crowded Why = iota // the bound is met, and this one earns least
+	Silent
+	Unended // a message without its end
+	Rested
+)
+
+var whys = [...]string{"crowded", "silent", "unended", "rested"}
+
+func (w Why) String() string { return whys[w] }
+
+// Action is a connection to close.
+type Action struct {
+	Conn Conn
+	Why  Why
+}
+
+type conn struct {
+	id           Conn
+	came, heard  float64
+	part         float64 // since when a message waits for its rest; 0: none does
+	open, stands int
+	asked, stood bool
+}
+
+// Door is the state for all connections.
+type Door struct {
+	cfg   Config
+	conns map[Conn]*conn
+}
+
+// New makes an open door with nobody there.
+func New(cfg Config) *Door { return &Door{cfg: cfg, conns: map[Conn]*conn{}} }
+
+// Len is the number of connections.
+func (d *Door) Len() int { return len(d.conns) }
+
+// Step takes one fact and appends what is to be closed. What is closed is forgotten; Left need not follow.
+func (d *Door) Step(now float64, ev Event, out []Action) []Action {
+	c := d.conns[ev.Conn]
+	switch ev.Kind {
+	case Came:
+		if len(d.conns) >= d.cfg.Most {
+			worst := d.least()
+			if worst == nil {
+				return append(out, Action{ev.Conn, Crowded}) // all carry set-ups: the newcomer goes
+			}
+			out = d.shut(worst, Crowded, out)
+		}
+		d.conns[ev.Conn] = &conn{id: ev.Conn, came: now, heard: now}
+	case Tick:
+		for _, c := range d.conns {
+			switch {
+			case c.open > 0:
+			case !c.asked && now-c.came > d.cfg.SilentMs:
+				out = d.shut(c, Silent, out)
+			case c.part > 0 && now-c.part > d.cfg.SilentMs:
+				out = d.shut(c, Unended, out)
+			case now-c.heard > d.cfg.RestMs:
+				out = d.shut(c, Rested, out)
+			}
+		}
+	}
+	if c == nil {
+		return out
+	}
+	switch ev.Kind {
+	case Heard:
+		c.heard = now
+		if !ev.Part {
+			c.part = 0
+		} else if c.part == 0 {
+			c.part = max(now, 0.001)
+		}
+	case Asked:
+		c.asked = true
+	case Carries:
+		c.open, c.stands = ev.Open, ev.Stands
+		c.stood = c.stood || c.stands > 0
+	case Left:
+		delete(d.conns, ev.Conn)
+	}
+	return out
+}
+
+func (d *Door) shut(c *conn, why Why, out []Action) []Action {
+	delete(d.conns, c.id)
+	return append(out, Action{c.id, why})
+}
+
+// before orders connections by what is lost with them: silent ones, then those on which nothing stands, then by how
+// long nothing was heard.
+func (c *conn) before(o *conn) bool {
+	switch {
+	case c.asked != o.asked:
+		return o.asked
+	case c.stands > 0 != (o.stands > 0):
+		return o.stands > 0
+	case c.heard != o.heard:
+		return c.heard < o.heard
+	}
+	return c.id < o.id
+}
+
+func (d *Door) least() (worst *conn) {
+	for _, c := range d.conns {
+		if c.open == 0 && (worst == nil || c.before(worst)) {
+			worst = c
+		}
+	}
+	return worst
+}
+
+// Voice is the connection for a word that belongs to none: of those on which a session has stood, since that is proof
+// of a viewer that keeps to the protocol, the one last heard.
+func (d *Door) Voice() (id Conn, ok bool) {
+	var best *conn
+	for _, c := range d.conns {
+		if c.stood && (best == nil || c.heard > best.heard || c.heard == best.heard && c.id < best.id) {
+			best = c
+		}
+	}
+	if best == nil {
+		return 0, false
+	}
+	return best.id, true
+}
--- /dev/null
+++ b/decide/door/door_test.go
@@ -0,0 +1,64 @@
+package door
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+type step struct {
+	at   float64
+	ev   Event
+	want string
+}
+
+func run(t *testing.T, name string, most int, steps []step) *Door {
+	t.Helper()
+	d := New(Config{Most: most, SilentMs: 2000, RestMs: 10000})
+	for i, s := range steps {
+		out := d.Step(s.at, s.ev, nil)
+		slices.SortFunc(out, func(a, b Action) int { return int(a.Conn) - int(b.Conn) })
+		got := ""
+		for _, a := range out {
+			got += fmt.Sprintf("%d %s ", a.Conn, a.Why)
+		}
+		if got != s.want {
+			t.Fatalf("%s, step %d at %v: got %q, want %q", name, i, s.at, got, s.want)
+		}
+	}
+	return d
+}
+
+func TestDoor(t *testing.T) {
+	came := func(c Conn) Event { return Event{Kind: Came, Conn: c} }
+	asked := func(c Conn) Event { return Event{Kind: Asked, Conn: c} }
+	heard := func(c Conn, part bool) Event { return Event{Kind: Heard, Conn: c, Part: part} }
+	carries := func(c Conn, open, stands int) Event { return Event{Kind: Carries, Conn: c, Open: open, Stands: stands} }
+	tick := Event{Kind: Tick}
+	run(t, "silent", 9, []step{{0, came(1), ""}, {2000, tick, ""}, {2001, tick, "1 silent "}, {2002, tick, ""}})
+	run(t, "noise is silence", 9, []step{{0, came(1), ""}, {1900, heard(1, false), ""}, {2001, tick, "1 silent "}})
+	run(t, "unended, trickling", 9, []step{{0, came(1), ""}, {1, asked(1), ""}, {100, heard(1, true), ""},
+		{2000, heard(1, true), ""}, {2100, tick, ""}, {2101, tick, "1 unended "}})
+	run(t, "ended in time", 9, []step{{0, came(1), ""}, {1, asked(1), ""}, {100, heard(1, true), ""},
+		{2000, heard(1, false), ""}, {2101, tick, ""}, {12001, tick, "1 rested "}})
+	run(t, "a set-up keeps it", 9, []step{{0, came(1), ""}, {1, asked(1), ""}, {1, carries(1, 1, 0), ""}, {2, heard(1, true), ""},
+		{30000, tick, ""}, {30001, carries(1, 0, 1), ""}, {30002, tick, "1 unended "}})
+	run(t, "the bound takes the silent, then the resting, then what stands", 4, []step{{0, came(1), ""}, {1, came(2), ""},
+		{2, came(3), ""}, {3, came(4), ""}, {4, asked(1), ""}, {4, carries(1, 0, 1), ""}, {5, asked(2), ""}, {6, asked(4), ""},
+		{6, carries(4, 1, 0), ""}, {7, came(5), "3 crowded "}, {8, asked(5), ""}, {8, carries(5, 1, 0), ""},
+		{9, came(6), "2 crowded "}, {9, asked(6), ""}, {9, carries(6, 1, 0), ""}, {10, came(7), "1 crowded "},
+		{10, asked(7), ""}, {10, carries(7, 1, 0), ""}, {11, came(8), "8 crowded "}})
+	d := run(t, "voice", 9, []step{{0, came(1), ""}, {0, came(2), ""}, {0, came(3), ""}, {1, carries(1, 0, 1), ""},
+		{2, carries(2, 0, 1), ""}, {3, heard(2, false), ""}, {4, heard(3, false), ""}, {5, carries(2, 0, 0), ""}})
+	if c, ok := d.Voice(); c != 2 || !ok {
+		t.Fatalf("voice: %d, %v", c, ok)
+	}
+	d.Step(6, Event{Kind: Left, Conn: 2}, nil)
+	if c, ok := d.Voice(); c != 1 || !ok || d.Len() != 2 {
+		t.Fatalf("voice: %d, %v, %d there", c, ok, d.Len())
+	}
+	d.Step(6, Event{Kind: Left, Conn: 1}, nil)
+	if _, ok := d.Voice(); ok {
+		t.Fatal("a connection on which nothing ever stood has the voice")
+	}
+}
--- a/decide/fleet/fleet.go
+++ b/decide/fleet/fleet.go
@@ -106,6 +106,12 @@
 // Has tells whether a box is listed and not gone.
 func (l *List) Has(id headmill.ServerID) bool { return l.boxes[id] != nil }
 
+// Ready tells whether a box may be sent to: listed, and not draining.
+func (l *List) Ready(id headmill.ServerID) bool {
+	k := l.boxes[id]
+	return k != nil && k.State == "ready"
+}
+
 // Cell is the cell that a box stands in, as last told; 0 for one that is not listed.
 func (l *List) Cell(id headmill.ServerID) int {
 	if k := l.boxes[id]; k != nil {
--- a/decide/fleet/fleet_test.go
+++ b/decide/fleet/fleet_test.go
@@ -108,3 +108,42 @@
 		}
 	}
 }
+
+// A box with a name is its name: an address may pass to another, and a told start names the boot.
+func TestNamedBoxes(t *testing.T) {
+	l := list()
+	take := func(version uint64, entries ...Entry) []headmill.Server {
+		t.Helper()
+		ev, v, err := l.Take(5000, &Message{Version: version, Full: true, Entries: entries})
+		if v != Taken || err != nil {
+			t.Fatalf("version %d: %s, %v", version, v, err)
+		}
+		return ev.Servers
+	}
+	box := func(name, addr, state string, since float64) Entry {
+		return Entry{Name: name, Addr: addr, State: state, SinceMs: since}
+	}
+	take(1, box("a", "127.0.0.1:1", "ready", 0), box("b", "127.0.0.1:2", "draining", 700))
+	a, b := Named("a"), Named("b")
+	if a == b || !l.Ready(a) || l.Ready(b) || !l.Has(b) || l.Has(Named("c")) || l.Name(b) != "b" || l.Addr(b) != "127.0.0.1:2" {
+		t.Fatalf("%+v", l.Servers())
+	}
+	for _, s := range l.Servers() {
+		if want := map[headmill.ServerID]float64{a: 0, b: 700}[s.ID]; s.UpSinceMs != want {
+			t.Errorf("%s has been up since %v, want %v", l.Name(s.ID), s.UpSinceMs, want)
+		}
+	}
+	// a has gone, c has its address, b has started anew
+	got := take(2, box("c", "127.0.0.1:1", "ready", 4000), box("b", "127.0.0.1:2", "ready", 4500))
+	if l.Has(a) || l.Ready(a) || l.Addr(Named("c")) != "127.0.0.1:1" || len(got) != 2 {
+		t.Fatalf("%+v", got)
+	}
+	for _, s := range got {
+		if want := map[headmill.ServerID]float64{Named("c"): 4000, b: 4500}[s.ID]; s.UpSinceMs != want {
+			t.Errorf("%s has been up since %v, want %v", l.Name(s.ID), s.UpSinceMs, want)
+		}
+	}
+	if _, v, _ := l.Take(5000, &Message{Version: 3, Full: true, Entries: []Entry{box("d", "127.0.0.1:1", "ready", -1)}}); v != Bad {
+		t.Errorf("a start before all time is %s", v)
+	}
+}
--- a/decide/limits/memory.go
+++ b/decide/limits/memory.go
@@ -12,10 +12,11 @@
 	Outgoing                   // bytes that wait for viewers: the connection that wants more is cut
 	Timelines                  // bytes of decide/quality's timelines: ended ones are forgotten early, new ones not kept
 	Sockets                    // sessions held over WebSocket connections: the message is refused
+	Waiting                    // bytes of set-ups that wait for their answer: a new one is refused
 	purposes
 )
 
-var purposeNames = [...]string{"sessions", "connections", "ledger", "reports", "outgoing", "timelines", "sockets"}
+var purposeNames = [...]string{"sessions", "connections", "ledger", "reports", "outgoing", "timelines", "sockets", "waiting"}
 
 func (p Purpose) String() string { return purposeNames[p] }
 
--- a/internal/platform/frame/frame.go
+++ b/internal/platform/frame/frame.go
@@ -201,3 +201,9 @@
 	out, at := Begin(out, Release, session)
 	return End(Add(out, Cause, []byte{cause}), at)
 }
+
+// AppendReleased appends the word that a release was heard.
+func AppendReleased(out []byte, session uint64) []byte {
+	out, at := Begin(out, Released, session)
+	return End(out, at)
+}
--- a/internal/platform/node/config.go
+++ b/internal/platform/node/config.go
@@ -20,7 +20,7 @@
 	Seed              uint64
 	Sockets           int     // descriptors that the process may hold
 	MemoryMB          float64 // over which it is killed
-	Cores             float64
+	Cores             float64 // that its processes get together
 	Known             names.Known
 	Module            headmill.Config
 	Fields            []string // of a load report, in the order of the settings
@@ -28,8 +28,6 @@
 	Classes, Tenants  map[string]int
 	DeadlineMs        []float64 // longest wait of each class
 	ConnectMs         float64   // for a connection to a media node
-	IdleMs            float64   // after which idle connections are closed
-	SlackMs           float64   // after a viewer's deadline in which an answer still counts
 }
 
 type file struct {
@@ -87,7 +85,7 @@
 	}
 	c.Module, c.Fields = s.Config, s.Fields
 	c.Words = names.Words{Zones: split(kv["dcs"]), Kinds: split(kv["skus"])}
-	if err := c.list(kv, "categories", func(i int, p string) error {
+	if err := each(kv, "categories", func(i int, p string) error {
 		c.Classes[kv[p+"name"]] = i
 		ms, err := strconv.ParseFloat(kv[p+"give_up_ms"], 64)
 		if err != nil || !(ms > 0) {
@@ -98,33 +96,33 @@
 	}); err != nil {
 		return nil, err
 	}
-	if err := c.list(kv, "tenants", func(i int, p string) error { c.Tenants[kv[p+"name"]] = i; return nil }); err != nil {
+	if err := each(kv, "tenants", func(i int, p string) error { c.Tenants[kv[p+"name"]] = i; return nil }); err != nil {
 		return nil, err
 	}
-	for _, t := range []struct {
-		key string
-		to  *float64
-		def float64 // where the platform states none
-	}{{"allowed.connect_timeout_ms", &c.ConnectMs, 250}, {"allowed.keepalive_ms", &c.IdleMs, 15000},
-		{"safety.answer_slack_ms", &c.SlackMs, 0}} {
-		*t.to = t.def
-		if v, ok := kv[t.key]; ok {
-			if *t.to, err = strconv.ParseFloat(v, 64); err != nil || !(*t.to >= 0) || math.IsInf(*t.to, 0) {
-				return nil, fmt.Errorf("settings.%s is %q", t.key, v)
-			}
+	c.ConnectMs = 250 // where the platform states none
+	if v, ok := kv["allowed.connect_timeout_ms"]; ok {
+		if c.ConnectMs, err = strconv.ParseFloat(v, 64); err != nil || !(c.ConnectMs > 0) || math.IsInf(c.ConnectMs, 0) {
+			return nil, fmt.Errorf("settings.allowed.connect_timeout_ms is %q", v)
 		}
 	}
-	if c.Sockets <= 0 {
+	if c.Sockets == 0 {
 		c.Sockets = 1024
 	}
 	if c.Sockets < 64 {
 		return nil, fmt.Errorf("limits.sockets is %d; at least 64 are needed", c.Sockets)
 	}
+	if err := c.Module.Validate(); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
 	return c, nil
 }
 
-func (c *Config) list(kv map[string]string, key string, f func(i int, prefix string) error) error {
-	n, _ := strconv.Atoi(kv[key+".count"])
+// each calls f for the items of a list of objects.
+func each(kv map[string]string, key string, f func(i int, prefix string) error) error {
+	n, err := strconv.Atoi(kv[key+".count"])
+	if _, there := kv[key+".count"]; there && err != nil {
+		return fmt.Errorf("settings.%s is no list of objects", key)
+	}
 	for i := range n {
 		if err := f(i, fmt.Sprintf("%s.%d.", key, i)); err != nil {
 			return err
--- /dev/null
+++ b/internal/platform/node/config_test.go
@@ -0,0 +1,54 @@
+package node
+
+import (
+	"strings"
+	"testing"
+)
+
+const goodConfig = `{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f","dns":"127.0.0.1:53",
+	"limits":{"cores":0.5,"memory_mb":64,"sockets":256},"known":{"no":0,"items":[]},
+	"settings":{"me":1,"replicas_of_me":3,"zone":0,"dcs":["east","west"],"skus":["std","big"],
+	"allowed":{"max_attempts":3,"connect_timeout_ms":120.5},
+	"categories":[{"name":"paid","give_up_ms":3000.0,"semantics":"once"},{"name":"free","give_up_ms":5000,"semantics":"repeatable"}],
+	"tenants":[{"name":"a"},{"name":"b"}],"feedback":{"fields":["outstanding","x0"]},
+	"family_info":{"level_kb":[100,200.5],"ladder_worth":[0.5,1],"cells":3,"racks":1,"floor_by_class":[0,1],"top_by_class":[1,1],"scale_by_class":[1,0.7]}}}`
+
+func TestConfig(t *testing.T) {
+	c, err := Parse([]byte(goodConfig))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &c.Module
+	if c.Seed != 0x8c1f || c.ConnectMs != 120.5 || c.Sockets != 256 || c.Cores != 0.5 || c.Classes["free"] != 1 || c.Tenants["b"] != 1 ||
+		c.DeadlineMs[1] != 5000 || c.Words.Zones[1] != "west" || c.Words.Kinds[1] != "big" || len(c.Fields) != 2 ||
+		m.Me != 1 || m.Fronts != 3 || m.RateKB[1] != 200.5 || m.Classes[1].Floor != 1 || m.Classes[1].Scale != 0.7 {
+		t.Fatalf("%+v", c)
+	}
+}
+
+// A bad configuration is told with its key.
+func TestConfigErrors(t *testing.T) {
+	for _, f := range []struct{ was, is, key string }{
+		{`"seed":"8c1f"`, `"seed":"zz"`, "seed"},
+		{`"listen":"127.0.0.1:0"`, `"listen":""`, "listen"},
+		{`"dns":"127.0.0.1:53"`, `"dns":""`, "dns"},
+		{`"sockets":256`, `"sockets":8`, "limits.sockets"},
+		{`"sockets":256`, `"sockets":"many"`, "limits.sockets"},
+		{`"items":[]`, `"items":7`, "known"},
+		{`"give_up_ms":3000.0`, `"give_up_ms":0`, "categories.0.give_up_ms"},
+		{`"give_up_ms":5000`, `"give_up_ms":"soon"`, "categories.1.give_up_ms"},
+		{`"connect_timeout_ms":120.5`, `"connect_timeout_ms":-1`, "allowed.connect_timeout_ms"},
+		{`"max_attempts":3`, `"max_attempts":0`, "MaxAttempts"},
+		{`"cells":3`, `"cells":"x"`, "family_info.cells"},
+		{`"level_kb":[100,200.5]`, `"level_kb":[]`, "RateKB"},
+		{`"settings":{`, `"settings":[{`, "configuration"},
+	} {
+		text := strings.Replace(goodConfig, f.was, f.is, 1)
+		if _, err := Parse([]byte(text)); err == nil || !strings.Contains(err.Error(), f.key) {
+			t.Errorf("%s: %v, want an error that names %s", f.is, err, f.key)
+		}
+	}
+	if _, err := Load("/nonexistent"); err == nil {
+		t.Error("a file that is not there is taken")
+	}
+}
--- a/internal/platform/node/feed.go
+++ b/internal/platform/node/feed.go
@@ -17,12 +17,8 @@
 type feed struct {
 	n     *Node
 	sock  *loop.Packet
-	addr  string
 	timer *loop.Timer
-	last  uint16
-	asked uint64 // questions so far
-	heard uint64 // answers that could be used
-	bad   uint64
+	last  uint16 // question
 }
 
 // open asks at an address from now on.
@@ -34,7 +30,7 @@
 	if f.sock != nil {
 		f.sock.Close()
 	}
-	f.sock, f.addr = sock, addr
+	f.sock = sock
 	f.n.l.Cancel(f.timer)
 	f.ask()
 	return nil
@@ -43,7 +39,6 @@
 func (f *feed) ask() {
 	f.timer = f.n.l.After(askMs, f.ask)
 	f.last++
-	f.asked++
 	if q, err := names.Query(f.last, service); err == nil {
 		f.sock.Send(q)
 	}
@@ -51,23 +46,14 @@
 
 // take reads one datagram. What can't be used leaves the list as it is: the next question is due soon.
 func (f *feed) take(b []byte) {
-	id, ok := names.ID(b)
-	if !ok || f.last-id >= openAsks {
-		f.bad++
+	if id, ok := names.ID(b); !ok || f.last-id >= openAsks {
 		return
 	}
 	m, err := names.Answer(b, f.n.cfg.Words)
-	if err == nil {
-		if m.Version <= f.n.list.Version() {
-			f.heard++
-			return // known, or older than what is known
-		}
+	if err == nil && m.Version > f.n.list.Version() { // else known, or older than what is known
 		err = f.n.take(&m)
 	}
 	if err != nil {
-		f.bad++
 		f.n.log.Debug("name service's answer can't be used", "error", err.Error())
-		return
 	}
-	f.heard++
 }
--- a/internal/platform/node/front.go
+++ b/internal/platform/node/front.go
@@ -5,8 +5,8 @@
 	"errors"
 	"math"
 	"strconv"
-	"strings"
 
+	"headmill/decide/door"
 	"headmill/internal/loop"
 	"headmill/internal/platform/lines"
 )
@@ -21,48 +21,49 @@
 type viewer struct {
 	n       *Node
 	c       *loop.Conn
+	id      door.Conn
 	buf     []byte
 	open    map[*session]struct{} // set-ups
-	stands  int                   // sessions set up here that stand
-	opened  float64
-	heard   float64
-	began   float64 // of a line that is not whole yet
-	asked   bool    // a set-up that could be read has come
-	trusted bool    // a session has stood here
+	stands  map[*session]struct{} // sessions set up here
+	trusted bool                  // a session has stood here
 }
 
-// accept takes a connection. At the bound the one goes that earns least: silent, or at rest for longest.
+// accept takes a connection, if decide/door does.
 func (n *Node) accept(c *loop.Conn) loop.Handler {
-	if len(n.viewers) >= n.cfg.Sockets/2 {
-		var worst *viewer
-		for v := range n.viewers {
-			if len(v.open) == 0 && (worst == nil || v.rank() < worst.rank()) {
-				worst = v
-			}
-		}
-		if worst == nil {
-			return nil
-		}
-		worst.c.Close(loop.ErrIdle)
-		delete(n.viewers, worst)
-	}
-	now := n.l.Now()
-	v := &viewer{n: n, c: c, open: map[*session]struct{}{}, opened: now, heard: now}
+	n.lastView++
+	v := &viewer{n: n, c: c, id: n.lastView, open: map[*session]struct{}{}, stands: map[*session]struct{}{}}
 	c.SetLimit(viewerOut)
-	n.viewers[v] = struct{}{}
+	n.viewers[v.id] = v
+	n.close(door.Event{Kind: door.Came, Conn: v.id})
+	if n.viewers[v.id] == nil {
+		return nil
+	}
 	return v
 }
 
-// rank orders connections by what is lost with them: silent ones first, then by how long nothing was heard.
-func (v *viewer) rank() float64 {
-	r := v.heard
-	if v.asked {
-		r += 1e9
-	}
-	if v.stands > 0 {
-		r += 1e9
+// close tells decide/door a fact and closes what it says. What makes room is cut, so that its descriptor is free at
+// once.
+func (n *Node) close(ev door.Event) {
+	n.shut = n.door.Step(n.l.Now(), ev, n.shut[:0])
+	for _, a := range n.shut {
+		v := n.viewers[a.Conn]
+		delete(n.viewers, a.Conn)
+		switch {
+		case a.Conn == ev.Conn: // just accepted: the loop closes it
+		case a.Why == door.Crowded:
+			v.c.Close(loop.ErrIdle)
+		default:
+			v.c.End()
+		}
+		if a.Why == door.Silent || a.Why == door.Unended {
+			n.stats.Bad++
+		}
 	}
-	return r
+}
+
+// carries tells decide/door what is on the connection.
+func (v *viewer) carries() {
+	v.n.close(door.Event{Kind: door.Carries, Conn: v.id, Open: len(v.open), Stands: len(v.stands)})
 }
 
 // Connected is never called: viewers dial.
@@ -73,20 +74,19 @@
 
 // Closed gives up the set-ups that were open. Sessions that stand belong to no connection.
 func (v *viewer) Closed(*loop.Conn, error) {
-	delete(v.n.viewers, v)
+	delete(v.n.viewers, v.id)
+	v.n.close(door.Event{Kind: door.Left, Conn: v.id})
 	for s := range v.open {
 		v.n.left(s)
 	}
-	for _, s := range v.n.sessions {
-		if s.front == v {
-			s.front = nil
-		}
+	for s := range v.stands {
+		s.front = nil
 	}
 }
 
 // Data cuts lines.
 func (v *viewer) Data(c *loop.Conn, b []byte) {
-	v.heard = v.n.l.Now()
+	defer func() { v.n.close(door.Event{Kind: door.Heard, Conn: v.id, Part: len(v.buf) > 0}) }()
 	for len(b) > 0 && c.Open() {
 		i := bytes.IndexByte(b, '\n')
 		if len(v.buf)+len(b) > lines.Max && (i < 0 || len(v.buf)+i > lines.Max) {
@@ -94,9 +94,6 @@
 			return
 		}
 		if i < 0 {
-			if len(v.buf) == 0 {
-				v.began = v.heard
-			}
 			v.buf = append(v.buf, b...)
 			return
 		}
@@ -160,7 +157,7 @@
 
 func (v *viewer) setup(id uint64, m *lines.Message) {
 	n := v.n
-	v.asked = true
+	n.close(door.Event{Kind: door.Asked, Conn: v.id})
 	if s := n.sessions[id]; s != nil {
 		if at, _ := extra(m, "at"); at != "" && s.state != asked {
 			return // what this director holds already
@@ -172,32 +169,23 @@
 		if s.front == v {
 			n.left(s)
 		}
-		v.answer(lines.AppendRelease(n.out[:0], id, causeInvalid, 0))
+		v.release(id, causeInvalid, 0)
 		return
 	}
 	r, cause := n.read(m)
 	if cause != 0 {
 		n.stats.Bad++
 		n.log.Debug("set-up can't be used", "id", m.ID, "cause", cause, "fields", m.Fields, "sdp", m.HasSDP)
-		v.answer(lines.AppendRelease(n.out[:0], id, cause, 0))
+		v.release(id, cause, 0)
 		return
 	}
-	if len(n.owed) > 0 && v.trusted {
-		n.payUp(v)
-	}
 	n.request(v, id, &r)
 }
 
+// extra is one of a set-up's extras.
 func extra(m *lines.Message, name string) (string, bool) {
 	text, _ := m.Get("extras")
-	for text != "" {
-		word, rest, _ := strings.Cut(text, ";")
-		if k, value, ok := strings.Cut(word, ":"); ok && k == name {
-			return value, true
-		}
-		text = rest
-	}
-	return "", false
+	return pick(text, name)
 }
 
 // read checks a set-up's fields. A cause other than 0 tells why it can't be used.
@@ -245,26 +233,19 @@
 	return r, 0
 }
 
-// answer writes what a set-up here was owed.
-func (v *viewer) answer(b []byte) { v.c.Write(b) }
+// release answers a set-up that is not to stand, or tells the end of a session.
+func (v *viewer) release(id uint64, cause int, waitMs float64) {
+	v.n.out = lines.AppendRelease(v.n.out[:0], id, cause, waitMs)
+	v.c.Write(v.n.out)
+}
 
 // keep notes that a session of this connection stands.
 func (v *viewer) keep(s *session) {
 	delete(v.open, s)
-	v.stands++
+	v.stands[s] = struct{}{}
+	v.carries()
 	if !v.trusted {
 		v.trusted = true
 		v.n.payUp(v)
 	}
 }
-
-// sweep closes what stays silent, and what rests without a session.
-func (v *viewer) sweep(now float64) {
-	switch {
-	case !v.asked && now-v.opened > silentMs, len(v.buf) > 0 && now-v.began > silentMs:
-		v.n.stats.Bad++
-		v.c.End()
-	case v.asked && len(v.open) == 0 && now-v.heard > restMs:
-		v.c.End()
-	}
-}
--- a/internal/platform/node/media.go
+++ b/internal/platform/node/media.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math"
+	"slices"
 	"strconv"
 
 	"headmill"
@@ -10,17 +11,18 @@
 	"headmill/decide/boxes"
 	"headmill/internal/loop"
 	"headmill/internal/platform/frame"
+	"headmill/internal/platform/lines"
 )
 
 const (
 	perBox    = 8        // connections to one media node at most
 	partialMs = 300.0    // for which the rest of a message may be awaited
 	boxOut    = 64 << 10 // bytes that may wait for a media node
+	unusedMs  = 60000.0  // after which a media node that is listed and not used is forgotten
+	queueMs   = 20000.0  // for which messages are kept that no connection could take
 	queueMost = 256      // messages kept for a media node that is being reached
 )
 
-var errGone = errors.New("node: attempt's connection was closed")
-
 // box is what the director keeps of a media node.
 type box struct {
 	n        *Node
@@ -30,7 +32,7 @@
 	links    []*link
 	standing map[uint64]*session
 	queue    [][]byte // messages on sessions, until a connection stands
-	wanted   bool     // decide/boxes wants a connection kept
+	queued   float64  // when the first of them was kept
 	used     float64
 }
 
@@ -38,13 +40,12 @@
 type link struct {
 	b       *box
 	c       *loop.Conn
+	addr    string // that it was dialled at
 	up      bool
 	r       frame.Reader
 	tries   map[uint64]*try
-	opened  float64
 	partial float64 // since when a message waits for its rest
 	timer   *loop.Timer
-	why     error
 }
 
 // try is one attempt, from the module's word to its outcome.
@@ -80,7 +81,7 @@
 	if len(b.links) >= perBox || b.n.links >= b.n.cfg.Sockets/3 {
 		return nil
 	}
-	k := &link{b: b, tries: map[uint64]*try{}, opened: b.n.l.Now()}
+	k := &link{b: b, addr: b.addr, tries: map[uint64]*try{}}
 	c, err := b.n.l.Dial(b.addr, k)
 	if err != nil {
 		b.n.log.Error("media node can't be dialled", "host", b.name, "error", err.Error())
@@ -94,11 +95,39 @@
 	return k
 }
 
+// drop takes a connection out of use. Its set-ups hear of it by Closed.
+func (b *box) drop(k *link) {
+	if i := slices.Index(b.links, k); i >= 0 {
+		b.links = slices.Delete(b.links, i, i+1)
+		b.n.links--
+	}
+}
+
+// move takes a new address: connections reach what was at the old one, so none is used again. One that carries a set-up
+// ends with it.
+func (b *box) move(addr string) {
+	b.addr = addr
+	for _, k := range slices.Clone(b.links) {
+		k.retire()
+	}
+}
+
+// retire closes a connection that reaches where the media node no longer is, once it carries nothing.
+func (k *link) retire() {
+	if k.addr != k.b.addr && len(k.tries) == 0 {
+		k.b.drop(k)
+		k.c.Close(loop.ErrIdle)
+	}
+}
+
+// usable tells whether something new may be written there.
+func (k *link) usable() bool { return k.up && k.c.Open() && k.addr == k.b.addr }
+
 // spare finds a connection for a set-up: one that carries none, so that an answer that can't be read takes no other
 // set-up with it.
 func (b *box) spare() *link {
 	for _, k := range b.links {
-		if k.up && len(k.tries) == 0 && !k.r.Partial() && k.c.Quiet() {
+		if k.usable() && len(k.tries) == 0 && !k.r.Partial() && k.c.Quiet() {
 			return k
 		}
 	}
@@ -109,26 +138,27 @@
 func (b *box) least() *link {
 	var best *link
 	for _, k := range b.links {
-		if k.up && k.c.Open() && (best == nil || len(k.tries) < len(best.tries)) {
+		if k.usable() && (best == nil || len(k.tries) < len(best.tries)) {
 			best = k
 		}
 	}
 	return best
 }
 
-// reach opens a connection where none stands.
+// reach opens a connection where none stands or is being opened.
 func (b *box) reach() {
-	for _, k := range b.links {
-		if k.up {
-			b.n.tellWatch(boxes.Event{Kind: boxes.Hello, Box: boxes.Box(b.id), Sessions: b.placed()})
-			return
-		}
-	}
-	if len(b.links) == 0 && b.dial() == nil {
+	here := func(k *link) bool { return k.addr == b.addr }
+	if b.least() != nil {
+		b.hello()
+	} else if !slices.ContainsFunc(b.links, here) && b.dial() == nil {
 		b.n.tellWatch(boxes.Event{Kind: boxes.Broke, Box: boxes.Box(b.id)})
 	}
 }
 
+func (b *box) hello() {
+	b.n.tellWatch(boxes.Event{Kind: boxes.Hello, Box: boxes.Box(b.id), Sessions: b.placed()})
+}
+
 // placed lists what this director holds there: the platform's media nodes don't tell what they run, so a connection
 // that stands proves that the machine lives and says nothing against any session.
 func (b *box) placed() []boxes.Session {
@@ -154,15 +184,28 @@
 		k.c.Write(m)
 		return
 	}
+	if len(b.queue) == 0 {
+		b.queued = b.n.l.Now()
+	}
 	if len(b.queue) < queueMost {
 		b.queue = append(b.queue, m)
 	}
-	if len(b.links) == 0 {
+	b.deliver()
+}
+
+// deliver sees to it that what is kept goes out, for a bounded time: what is to end there would stand on.
+func (b *box) deliver() {
+	switch {
+	case len(b.queue) == 0 || len(b.links) > 0:
+	case b.n.l.Now()-b.queued > queueMs:
+		b.queue = nil
+	default:
 		b.dial()
 	}
 }
 
-// Connected lets the attempts that waited for the connection be written.
+// Connected lets the attempts that waited for the connection be written. A drain that was told meanwhile stops them:
+// no byte has left, so they never ran.
 func (k *link) Connected(c *loop.Conn) {
 	b := k.b
 	b.n.l.Cancel(k.timer)
@@ -171,8 +214,13 @@
 		c.Write(m)
 	}
 	b.queue = nil
-	b.n.tellWatch(boxes.Event{Kind: boxes.Hello, Box: boxes.Box(b.id), Sessions: b.placed()})
+	b.hello()
+	ready := b.n.list.Ready(b.id)
 	for _, t := range k.tries {
+		if !ready {
+			t.step(attempt.Event{Kind: attempt.Cancelled})
+			continue
+		}
 		t.step(attempt.Event{Kind: attempt.Connected})
 	}
 }
@@ -198,34 +246,30 @@
 	}
 }
 
-// spoilt gives up a connection on which where the next message begins is not known. Its set-ups may have run; the media
-// node is told that nobody waits for them.
+// spoilt gives up a connection on which where the next message begins is not known. Its set-ups may have run, and what
+// was answered unreadably stands: the media node is told on another connection that nobody wants them, since this one
+// may be reset with what was written last.
 func (k *link) spoilt(err error) {
 	n := k.b.n
 	n.stats.Spoilt++
 	n.log.Debug("media node's message can't be read", "host", k.b.name, "error", err.Error())
+	k.b.drop(k)
+	k.c.Close(nil)
 	for id := range k.tries {
-		k.c.Write(frame.AppendRelease(nil, id, causeClear))
+		k.b.tell(frame.AppendRelease(nil, id, causeClear))
 	}
-	k.why = err
-	k.c.Close(nil)
 }
 
 // Closed tells the attempts on the connection what can be known of them.
 func (k *link) Closed(_ *loop.Conn, err error) {
 	b := k.b
-	n := b.n
-	n.l.Cancel(k.timer)
-	for i, o := range b.links {
-		if o == k {
-			b.links = append(b.links[:i], b.links[i+1:]...)
-			break
-		}
+	b.n.l.Cancel(k.timer)
+	b.drop(k)
+	if loop.Refused(err) { // no process, so nothing that could be told
+		b.queue = nil
 	}
-	n.links--
 	if len(b.links) == 0 {
-		n.tellWatch(boxes.Event{Kind: boxes.Broke, Box: boxes.Box(b.id), Refused: loop.Refused(err)})
-		b.queue = nil
+		b.n.tellWatch(boxes.Event{Kind: boxes.Broke, Box: boxes.Box(b.id), Refused: loop.Refused(err)})
 	}
 	for _, t := range k.tries {
 		t.closed()
@@ -237,7 +281,6 @@
 	switch m.Type {
 	case frame.Answer:
 		if t := k.tries[m.Session]; t != nil {
-			t.load = n.report(m.Get(frame.Report))
 			t.answered(m.Get(frame.SDP))
 		}
 	case frame.Release:
@@ -256,7 +299,7 @@
 			}
 			n.ended(s, o, cause, load)
 		}
-		k.c.Write(released(m.Session))
+		k.c.Write(frame.AppendReleased(nil, m.Session))
 	case frame.Note:
 		k.note(m)
 	case frame.Ping:
@@ -265,11 +308,6 @@
 	}
 }
 
-func released(id uint64) []byte {
-	out, at := frame.Begin(nil, frame.Released, id)
-	return frame.End(out, at)
-}
-
 var sorts = map[string]headmill.NoteKind{"got": headmill.NoteShare, "level": headmill.NoteRung,
 	"port": headmill.NoteLink, "spine": headmill.NoteUplink}
 
@@ -286,14 +324,19 @@
 	k.b.n.tell(headmill.Event{Kind: headmill.EvNote, Session: s.no, Server: k.b.id, Note: kind, Value: v})
 }
 
-// sweep closes connections on which a message waits for its rest, and forgets what is long unused.
+// sweep closes connections on which a message waits for its rest, and forgets what has gone or is long unused.
 func (b *box) sweep(now float64) {
-	for _, k := range b.links {
-		if k.up && k.r.Partial() && now-k.partial > partialMs {
+	for _, k := range slices.Clone(b.links) {
+		if k.r.Partial() && now-k.partial > partialMs {
 			k.spoilt(errors.New("message without its end"))
 		}
 	}
-	if len(b.links) == 0 && len(b.standing) == 0 && now-b.used > 60000 {
+	b.deliver()
+	gone := !b.n.list.Has(b.id)
+	if gone && len(b.standing) == 0 {
+		b.shut()
+	}
+	if len(b.links) == 0 && len(b.standing) == 0 && len(b.queue) == 0 && (gone || now-b.used > unusedMs) {
 		delete(b.n.boxes, b.id)
 	}
 }
@@ -360,6 +403,7 @@
 func (t *try) off() {
 	if t.k != nil && t.k.tries[t.s.id] == t {
 		delete(t.k.tries, t.s.id)
+		t.k.retire()
 	}
 	t.k = nil
 	t.n.l.Cancel(t.timer)
@@ -391,14 +435,29 @@
 	t.step(attempt.Event{Kind: attempt.Broke})
 }
 
+// answered passes the session on. A description that no line can hold can't be: nobody is told that the session
+// stands, so it is ended there.
 func (t *try) answered(sdp []byte) {
 	if t.a.State() != attempt.Sent {
 		return
 	}
-	s := t.s
+	s, n := t.s, t.n
+	n.out = lines.AppendAnswer(n.out[:0], s.id, sdp)
+	if len(n.out) > lines.Max {
+		n.stats.Spoilt++
+		t.k.c.Write(frame.AppendRelease(nil, s.id, causeClear))
+		t.broke()
+		return
+	}
 	t.step(attempt.Event{Kind: attempt.Whole, Status: 201})
 	s.try = nil
-	t.n.stands(s, t.n.l.Now()-t.began, sdp)
+	n.stands(s, n.l.Now()-t.began, n.out)
+}
+
+// broke ends an attempt whose connection goes on.
+func (t *try) broke() {
+	t.off()
+	t.step(attempt.Event{Kind: attempt.Broke})
 }
 
 // released is the media node's own word on a set-up.
@@ -412,8 +471,7 @@
 			"title", t.s.title, "sdp", t.s.sdp, "left", t.s.deadline-t.began)
 		t.step(attempt.Event{Kind: attempt.Whole, Status: 500})
 	default:
-		t.off()
-		t.step(attempt.Event{Kind: attempt.Broke})
+		t.broke()
 	}
 }
 
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -4,7 +4,8 @@
 // and their actions into messages. It decides nothing: where a session goes,
 // its rung, a refusal and its advice are the module's; what became of a set-up
 // is decide/attempt's, which list counts decide/fleet's, and which sessions are
-// lost with a media node decide/boxes'.
+// lost with a media node decide/boxes', which connections from viewers are kept
+// decide/door's.
 //
 // A session passes these states:
 //
@@ -15,7 +16,6 @@
 package node
 
 import (
-	"fmt"
 	"log/slog"
 	"math"
 	"slices"
@@ -26,11 +26,14 @@
 	"headmill"
 	"headmill/decide/attempt"
 	"headmill/decide/boxes"
+	"headmill/decide/door"
 	"headmill/decide/fleet"
+	"headmill/decide/limits"
 	"headmill/decide/retire"
 	"headmill/internal/loop"
 	"headmill/internal/platform/frame"
 	"headmill/internal/platform/lines"
+	"headmill/internal/wire"
 )
 
 // Causes of releases (Q.850). The first three are refusals: trying again is harmless.
@@ -47,11 +50,12 @@
 )
 
 const (
-	sweepMs   = 100.0  // between looks at what is late
-	endMs     = 400.0  // for a media node's last word on a session that its viewer ended
-	oweMs     = 8000.0 // for which a release that no connection could take is kept
-	sessionsM = 100000 // sessions at most
-	unknown   = -1     // rung of a session of the start, until its media node tells it
+	heldPart  = 8       // of the memory: what set-ups that wait may hold, and once more what sessions may
+	entrySize = 1 << 10 // bytes that a session in the table is reckoned at
+	sweepMs   = 100.0   // between looks at what is late
+	endMs     = 400.0   // for a media node's last word on a session that its viewer ended
+	oweMs     = 8000.0  // for which a release that no connection could take is kept
+	unknown   = -1      // rung of a session of the start, until its media node tells it
 )
 
 type state uint8
@@ -67,7 +71,6 @@
 type session struct {
 	id         uint64
 	no         headmill.SessionID
-	class      int
 	state      state
 	rung, sent int     // the module's last word; what its media node was told, or unknown
 	front      *viewer // of its set-up; nil once that connection is closed
@@ -82,7 +85,7 @@
 
 // Stats counts what happened since the start.
 type Stats struct {
-	Asked, Played, Refused, Failed, Left, Bad, Lost, Spoilt, Attempts, Opened int
+	Asked, Played, Refused, Denied, Failed, Left, Bad, Lost, Spoilt, Attempts, Opened int
 }
 
 // Node is one director.
@@ -95,7 +98,7 @@
 	watch  *boxes.Watch
 	stop   *retire.Stop
 	feed   feed
-	door   *loop.Listener
+	listen *loop.Listener
 
 	in, spare []headmill.Event
 	watchIn   []boxes.Event
@@ -107,7 +110,11 @@
 	numbers  map[headmill.SessionID]*session
 	last     headmill.SessionID
 	boxes    map[headmill.ServerID]*box
-	viewers  map[*viewer]struct{}
+	viewers  map[door.Conn]*viewer
+	lastView door.Conn
+	door     *door.Door
+	shut     []door.Action
+	accounts limits.Accounts
 	owed     []owed
 	links    int
 	waiting  int // sessions in asked
@@ -130,7 +137,7 @@
 // New makes a director on a loop; Start opens it.
 func New(cfg *Config, l *loop.Loop, log *slog.Logger) (*Node, error) {
 	n := &Node{cfg: cfg, l: l, log: log, sessions: map[uint64]*session{}, numbers: map[headmill.SessionID]*session{},
-		boxes: map[headmill.ServerID]*box{}, viewers: map[*viewer]struct{}{}, Done: func() {}}
+		boxes: map[headmill.ServerID]*box{}, viewers: map[door.Conn]*viewer{}, Done: func() {}}
 	n.unix0 = float64(time.Now().UnixMicro())/1000 - l.Now()
 	var err error
 	if n.module, err = headmill.New(cfg.Module, cfg.Seed); err != nil {
@@ -143,6 +150,11 @@
 	n.watch = boxes.New(boxes.Config{SilentMs: silent, LostMs: silent + 2*cfg.ConnectMs + 300, RetryMs: 50,
 		MaxRetry: 400, IdleMs: 5000, OpenMs: cfg.ConnectMs + 50})
 	n.stop = retire.New(retire.Config{NoticeMs: 1500, FinishMs: slices.Max(cfg.DeadlineMs) + 200, PlayMs: math.Inf(1)})
+	n.door = door.New(door.Config{Most: cfg.Sockets / 2, SilentMs: silentMs, RestMs: restMs})
+	if held := int64(cfg.MemoryMB * (1 << 20) / heldPart); held > 0 {
+		n.accounts.SetCap(limits.Waiting, held)
+		n.accounts.SetCap(limits.Sessions, held/entrySize)
+	}
 	n.feed.n = n
 	l.SetLingerMost(cfg.Sockets / 16)
 	return n, nil
@@ -158,7 +170,7 @@
 		return err
 	}
 	n.flush()
-	if n.door, err = n.l.Listen(n.cfg.Listen, n.accept); err != nil {
+	if n.listen, err = n.l.Listen(n.cfg.Listen, n.accept); err != nil {
 		return err
 	}
 	if err := n.feed.open(n.cfg.DNS); err != nil {
@@ -170,7 +182,7 @@
 }
 
 // Addr is the address listened on.
-func (n *Node) Addr() string { return n.door.Addr() }
+func (n *Node) Addr() string { return n.listen.Addr() }
 
 // Stats is what happened so far.
 func (n *Node) Stats() Stats { return n.stats }
@@ -227,8 +239,7 @@
 		for i := range m.Entries {
 			e := &m.Entries[i]
 			if b := n.boxes[fleet.Named(e.Name)]; b != nil && b.addr != e.Addr {
-				b.addr = e.Addr
-				b.shut() // they reach what was there before; one that carries a set-up ends with it
+				b.move(e.Addr)
 			}
 		}
 	}
@@ -273,8 +284,7 @@
 // final answers a set-up that is not to stand, and forgets it.
 func (n *Node) final(s *session, cause int, waitMs float64) {
 	if f := s.front; f != nil {
-		n.out = lines.AppendRelease(n.out[:0], s.id, cause, waitMs)
-		f.answer(n.out)
+		f.release(s.id, cause, waitMs)
 	}
 	n.forget(s)
 }
@@ -282,80 +292,94 @@
 func (n *Node) forget(s *session) {
 	n.leave(s)
 	if s.state == asked {
-		n.waiting--
+		n.settled(s)
 	}
 	n.l.Cancel(s.timer)
 	s.state = over
+	n.accounts.Give(limits.Sessions, 1)
 	if n.sessions[s.id] == s {
 		delete(n.sessions, s.id)
 	}
 	delete(n.numbers, s.no)
 }
 
+// settled gives back what a set-up held while it waited.
+func (n *Node) settled(s *session) {
+	n.waiting--
+	n.accounts.Give(limits.Waiting, int64(len(s.sdp)))
+	s.sdp = ""
+}
+
 // leave takes a session off its viewer's connection.
 func (n *Node) leave(s *session) {
-	if s.front != nil {
-		if s.state == plays || s.state == ending {
-			s.front.stands--
-		}
-		delete(s.front.open, s)
+	if f := s.front; f != nil {
+		delete(f.open, s)
+		delete(f.stands, s)
 		s.front = nil
+		f.carries()
 	}
 }
 
-// request makes the module's request out of a set-up.
+// request makes the module's request out of a set-up. At a bound it is refused here, with the settings' time to come
+// back: the module never hears of it, so nothing of it can have run.
 func (n *Node) request(v *viewer, id uint64, r *request) {
-	if len(n.sessions) >= sessionsM {
-		v.answer(lines.AppendRelease(n.out[:0], id, causeCongested, 0))
+	held := int64(len(r.sdp))
+	switch {
+	case r.at != "" && !n.list.Has(fleet.Named(r.at)): // where it played is not there any more, so it is over
+		n.log.Debug("session plays where no media node is listed", "host", r.at)
+		v.release(id, causeReset, 0)
+		return
+	case !n.accounts.Room(limits.Sessions, 1), r.at == "" && !n.accounts.Take(limits.Waiting, held):
+		n.stats.Denied++
+		wait := 0.0
+		if m := &n.cfg.Module; m.RetryAfter {
+			wait = m.MaxRetryAfterMs
+		}
+		v.release(id, causeCongested, wait)
 		return
 	}
+	n.accounts.Take(limits.Sessions, 1)
 	n.last++
-	s := &session{id: id, no: n.last, class: r.class, className: r.className, title: r.title, sdp: r.sdp, front: v,
+	s := &session{id: id, no: n.last, className: r.className, title: r.title, sdp: r.sdp, front: v,
 		deadline: n.l.Now() + r.left, rung: n.cfg.Module.Classes[r.class].Floor}
 	n.sessions[id], n.numbers[s.no] = s, s
 	ev := headmill.Event{Kind: headmill.EvRequest, Session: s.no, Class: r.class, Title: r.key, RemainingMs: r.left,
 		Home: r.home, Copies: r.copies, TopRung: r.top}
 	if r.at != "" {
-		n.adopt(s, r.at, ev)
+		n.adopt(s, fleet.Named(r.at), ev)
 		return
 	}
 	v.open[s] = struct{}{}
+	v.carries()
 	n.stats.Asked++
 	n.waiting++
 	n.tell(ev)
 }
 
 // adopt takes a session that plays at a media node already.
-func (n *Node) adopt(s *session, at string, ev headmill.Event) {
-	server := fleet.Named(at)
-	if !n.list.Has(server) {
-		n.log.Debug("session plays where no media node is listed", "host", at)
-		n.owe(s.front, s.id, causeReset) // where it played is not there any more, so it is over
-		n.forget(s)
-		return
-	}
+func (n *Node) adopt(s *session, server headmill.ServerID, ev headmill.Event) {
 	n.stats.Opened++
-	s.front.keep(s)
-	s.state, s.sent, s.box = plays, unknown, n.box(server)
+	s.state, s.sent, s.sdp, s.box = plays, unknown, "", n.box(server)
 	s.box.standing[s.id] = s
+	s.front.keep(s)
 	ev.Kind, ev.Server = headmill.EvExisting, server
 	n.tell(ev)
 	n.tellWatch(boxes.Event{Kind: boxes.Placed, Box: boxes.Box(server), Session: boxes.Session(s.no)})
 }
 
-// stands passes a media node's answer on: the session plays.
-func (n *Node) stands(s *session, took float64, sdp []byte) {
+// stands passes a media node's answer on, as the line that was made of it: the session plays.
+func (n *Node) stands(s *session, took float64, line []byte) {
 	n.stats.Played++
-	n.waiting--
-	s.state, s.sdp = plays, ""
+	n.settled(s)
+	s.state = plays
 	s.box.standing[s.id] = s
 	if f := s.front; f != nil {
-		n.out = lines.AppendAnswer(n.out[:0], s.id, sdp)
-		f.answer(n.out)
+		f.c.Write(line)
 		f.keep(s)
 	}
 	n.tell(headmill.Event{Kind: headmill.EvPlaying, Session: s.no, Server: s.box.id, TookMs: took})
 	n.tellWatch(boxes.Event{Kind: boxes.Placed, Box: boxes.Box(s.box.id), Session: boxes.Session(s.no)})
+	n.tellRung(s) // what was set while the set-up was out and could not be told
 }
 
 // ended settles a session that stood: the module hears of it, and its viewer, where it is owed a release.
@@ -399,30 +423,24 @@
 func (n *Node) owe(front *viewer, id uint64, cause int) {
 	v := front
 	if v == nil || !v.c.Open() {
-		v = nil
-		for o := range n.viewers {
-			if o.c.Open() && o.trusted && (v == nil || o.heard > v.heard) {
-				v = o
-			}
-		}
+		c, _ := n.door.Voice()
+		v = n.viewers[c]
 	}
-	if v == nil {
+	if v == nil || !v.c.Open() {
 		n.owed = append(n.owed, owed{id, cause, n.l.Now() + oweMs})
 		return
 	}
-	n.out = lines.AppendRelease(n.out[:0], id, cause, 0)
-	v.c.Write(n.out)
+	v.release(id, cause, 0)
 }
 
 // payUp sends what is owed, once a connection is there.
 func (n *Node) payUp(v *viewer) {
-	due := n.owed
-	n.owed = nil
-	for _, o := range due {
+	for _, o := range n.owed {
 		if n.l.Now() < o.until {
-			n.owe(v, o.id, o.cause)
+			v.release(o.id, o.cause, 0)
 		}
 	}
+	n.owed = nil
 }
 
 // fromWatch carries out what decide/boxes says.
@@ -433,10 +451,8 @@
 	}
 	switch a.Kind {
 	case boxes.Open:
-		b.wanted = true
 		b.reach()
 	case boxes.Shut:
-		b.wanted = false
 		b.shut()
 	case boxes.Lose, boxes.Orphan:
 		if s := n.numbers[headmill.SessionID(a.Session)]; s != nil && s.state != asked {
@@ -450,30 +466,22 @@
 
 // report reads a load report: NAME:VALUE;... with the names of the settings.
 func (n *Node) report(b []byte) headmill.Report {
-	r := headmill.Report{Streams: -1, Link: -1, Uplink: -1}
-	capped := -1.0
-	for _, word := range strings.Split(string(b), ";") {
-		name, value, ok := strings.Cut(word, ":")
-		v, err := strconv.ParseFloat(value, 64)
-		if !ok || err != nil || !(v >= 0) || math.IsInf(v, 0) || !slices.Contains(n.cfg.Fields, name) {
-			continue
-		}
-		r.Told = true
-		switch name {
-		case "outstanding":
-			r.Streams = v
-		case "x0":
-			r.Link = v
-		case "x1":
-			r.Uplink = v
-		case "utilization":
-			capped = v
+	text := string(b)
+	return wire.ReadReport(n.cfg.Fields, func(_ int, name string) (float64, bool) {
+		word, ok := pick(text, name)
+		v, err := strconv.ParseFloat(word, 64)
+		return v, ok && err == nil
+	})
+}
+
+// pick finds a value in NAME:VALUE;...
+func pick(text, name string) (string, bool) {
+	for word := range strings.SplitSeq(text, ";") {
+		if k, value, ok := strings.Cut(word, ":"); ok && k == name {
+			return value, true
 		}
 	}
-	if r.Link < 0 {
-		r.Link = capped
-	}
-	return r
+	return "", false
 }
 
 // sweep looks at what is late, and at how far a stop is.
@@ -481,9 +489,7 @@
 	n.l.After(sweepMs, n.sweep)
 	now := n.l.Now()
 	n.tellWatch(boxes.Event{Kind: boxes.Tick})
-	for v := range n.viewers {
-		v.sweep(now)
-	}
+	n.close(door.Event{Kind: door.Tick})
 	for _, b := range n.boxes {
 		b.sweep(now)
 	}
@@ -492,11 +498,9 @@
 		Playing: len(n.sessions) - n.waiting}, nil) {
 		switch a {
 		case retire.CloseDoor:
-			n.door.Close()
+			n.listen.Close()
 		case retire.CutAll:
 			n.Done()
 		}
 	}
 }
-
-func (n *Node) String() string { return fmt.Sprintf("%s: %+v", n.cfg.Name, n.stats) }
--- a/internal/platform/node/node_test.go
+++ b/internal/platform/node/node_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"headmill/decide/fleet"
+	"headmill/decide/limits"
 	"headmill/internal/platform/frame"
 )
 
@@ -399,10 +400,7 @@
 	v := r.call()
 	old, _ := r.plays(v, id1)
 	moved := startMedia(t, "s-0")
-	r.l.Post(func() {
-		r.n.take(&fleet.Message{Version: 9, Full: true, Entries: []fleet.Entry{{Name: "s-0", Addr: moved.ln.Addr().String(),
-			State: "ready", Weight: 1}}})
-	})
+	r.takes("ready", moved.ln.Addr().String())
 	r.nodes = append(r.nodes, moved)
 	v.ask(id2, "free", "1;top:0")
 	m, s := r.setup()
@@ -433,3 +431,272 @@
 		t.Fatalf("an unchanged rung was sent: %+v", got)
 	}
 }
+
+// A stop: what was taken is answered, the door closes, the process may end when the last session has.
+func TestStop(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	v.playing(id2, "s-77") // turned away: it must not be counted as one that waits
+	v.hear()
+	_, s := r.plays(v, id1)
+	r.n.Stop()
+	v.ask(id2, "paid", "1;top:0")
+	_, s2 := r.setup()
+	s2.answer("x")
+	if e := v.hear(); e.Type != "answer" {
+		t.Fatalf("taken while requests still come: %+v", e)
+	}
+	for late := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
+		c, err := net.Dial("tcp4", r.addr)
+		if err != nil {
+			break
+		}
+		c.Close()
+		if time.Now().After(late) {
+			t.Fatal("the door stays open")
+		}
+	}
+	select {
+	case <-r.done:
+		t.Fatal("ended while sessions stand")
+	default:
+	}
+	s.release(causeClear)
+	s2.release(causeClear)
+	v.hear()
+	v.hear()
+	select {
+	case <-r.done:
+	case <-time.After(patience):
+		t.Fatal("does not end after its last session")
+	}
+}
+
+// A set-up that is out while its media node's address changes keeps its connection, and nobody else gets it.
+func TestChangedAddressWithASetUpOut(t *testing.T) {
+	r := startRig(t, 1, func(c *Config) { c.Module.TellMs = 1e6 }) // not to be closed for its silence
+	v := r.call()
+	v.ask(id1, "free", "1;top:0")
+	_, s := r.setup()
+	moved := startMedia(t, "s-0")
+	r.takes("ready", moved.ln.Addr().String())
+	s.answer("x")
+	if e := v.hear(); e.Type != "answer" {
+		t.Fatalf("%+v", e)
+	}
+	r.wait("connections to the old address stay open", func(Stats) bool {
+		old := 0
+		r.on(func() {
+			for _, k := range r.n.boxes[fleet.Named("s-0")].links {
+				if k.addr != moved.ln.Addr().String() {
+					old++
+				}
+			}
+		})
+		return old == 0
+	})
+	r.nodes = append(r.nodes, moved)
+	v.ask(id2, "free", "1;top:0")
+	if m, _ := r.setup(); m != moved {
+		t.Fatal("a set-up went to the old address")
+	}
+}
+
+// A drain that is told while a set-up waits for its connection: it is not written any more.
+func TestDrainWhileConnecting(t *testing.T) {
+	hole, ln := blackHole(t)
+	r := startRig(t, 1, func(c *Config) { c.ConnectMs = 20000; c.Known.Items[0].Roster.Hosts[0].Dial = hole })
+	v := r.call()
+	v.say(`{"type":"setup","id":"%s","fields":{"class":"paid","left":"6000","tenant":"acme","key":"7f3a9c21e0b4d655","extras":"home:0;copies:1;top:0"},"sdp":"x"}`, id1)
+	r.wait("no attempt", func(st Stats) bool { return st.Attempts == 1 })
+	r.takes("draining", hole)
+	go func() { // now connections come up
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				if n, _ := c.Read(make([]byte, 100)); n > 0 {
+					t.Errorf("%d bytes were written after the drain was told", n)
+				}
+			}()
+		}
+	}()
+	if e := v.hear(); e.Type != "release" || e.Cause != causeCongested {
+		t.Fatalf("%+v", e)
+	}
+}
+
+// A spoilt answer means that the session stands there and nobody knows: it is ended there, on another connection.
+func TestSpoiltAnswersSessionIsEnded(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	v.ask(id1, "paid", "1;top:0")
+	m, s := r.setup()
+	s.c.Write([]byte{0xff, 0xff, 9})
+	go func() { // and it keeps coming
+		for b := make([]byte, 1<<16); ; {
+			if _, err := s.c.Write(b); err != nil {
+				return
+			}
+		}
+	}()
+	for {
+		if e := m.want(frame.Release); e.id == 0xa1 && e.c != s.c {
+			break
+		}
+	}
+	if e := v.hear(); e.Type != "release" || e.Cause != causeError {
+		t.Fatalf("%+v", e)
+	}
+}
+
+// A description that no line to a viewer can hold: the viewer is not answered with what it can't read, and the session is
+// ended at its media node.
+func TestAnswerTooLongForALine(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	v.ask(id1, "paid", "1;top:0")
+	m, s := r.setup()
+	s.answer(strings.Repeat("\x01", 4000)) // six bytes each in JSON
+	if e := m.want(frame.Release); e.id != 0xa1 {
+		t.Fatalf("%+v", e)
+	}
+	if e := v.hear(); e.Type != "release" || e.Cause != causeError {
+		t.Fatalf("%+v", e)
+	}
+}
+
+// What is to be told to a media node that can't be reached just now is told when it can.
+func TestEndIsToldWhenTheMediaNodeIsBack(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	m, _ := r.plays(v, id1)
+	hole, ln := blackHole(t)
+	r.on(func() { r.n.boxes[fleet.Named(m.name)].addr = hole })
+	m.cut()
+	v.say(`{"type":"release","id":"%s","fields":{},"cause":16}`, id1)
+	v.hear()
+	r.wait("not ended", func(Stats) bool { return r.count() == 0 }) // the first connect has failed by then, or will
+	go m.serve(ln)
+	if e := m.want(frame.Release); e.id != 0xa1 {
+		t.Fatalf("%+v", e)
+	}
+}
+
+// A media node tells an end on its connection and again on the next one: it counts once.
+func TestEndToldTwice(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	m, s := r.plays(v, id1)
+	s.release(causeReset)
+	s.release(causeReset)
+	m.want(frame.Released)
+	m.want(frame.Released)
+	if e := v.hear(); e.Type != "release" || e.Cause != causeReset {
+		t.Fatalf("%+v", e)
+	}
+	v.say(`{"type":"ping","id":"x","fields":{},"cause":0}`)
+	if e := v.hear(); e.Type != "pong" {
+		t.Fatalf("told twice: %+v", e)
+	}
+}
+
+// A drain that the name service tells keeps set-ups away, through DNS on a socket.
+func TestDrainToldByTheNameService(t *testing.T) {
+	r := startRig(t, 2, nil)
+	v := r.call()
+	r.tells(7, func(i int) bool { return i == 0 })
+	r.wait("the list is not taken", func(Stats) bool {
+		var no uint64
+		r.on(func() { no = r.n.list.Version() })
+		return no == 7
+	})
+	for i := range 6 {
+		v.ask(fmt.Sprintf("%016x", 0xd0+i), "free", "2;top:0")
+		m, s := r.setup()
+		if m == r.nodes[0] {
+			t.Fatal("a set-up came to a draining media node")
+		}
+		s.answer("x")
+		v.hear()
+	}
+}
+
+// Descriptions that wait are held within a part of the memory; one more is refused at once, with a time to come back.
+func TestFloodIsHeldWithinBounds(t *testing.T) {
+	r := startRig(t, 1, func(c *Config) { c.MemoryMB = 1 })
+	v := r.call()
+	big, n := strings.Repeat("x", 15000), 40
+	go func() {
+		for i := range n {
+			v.say(`{"type":"setup","id":"%016x","fields":{"class":"free","left":"3000","tenant":"acme","key":"%016x","extras":"home:0;copies:1;top:0"},"sdp":"%s"}`, 0xe00+i, i, big)
+		}
+	}()
+	refused := 0
+	for range n {
+		if e := v.hear(); e.Type == "release" && e.Cause == causeCongested && e.Fields["wait"] != "" {
+			refused++
+		}
+	}
+	if st := r.stats(); refused < n/2 || st.Asked+st.Denied != n || st.Denied == 0 {
+		t.Fatalf("%d refused, %+v", refused, st)
+	}
+	r.wait("what was held is not given back", func(Stats) bool {
+		var held int64
+		r.on(func() { held = r.n.accounts.Of(limits.Waiting).Used + r.n.accounts.Of(limits.Sessions).Used })
+		return held == 0
+	})
+}
+
+// What has ended leaves nothing behind: ids, connections and media nodes are new all the time on a long day.
+func TestNothingGrows(t *testing.T) {
+	r := startRig(t, 1, nil)
+	m := r.nodes[0]
+	for round := range 8 {
+		name := fmt.Sprintf("s-new-%d", round)
+		r.on(func() {
+			if err := r.n.take(&fleet.Message{Version: uint64(10 + round), Full: true, Entries: []fleet.Entry{
+				{Name: name, Addr: m.ln.Addr().String(), State: "ready", Weight: 1}}}); err != nil {
+				t.Error(err)
+			}
+		})
+		for i := range 10 {
+			v, id := r.call(), fmt.Sprintf("%016x", 0x1000+100*round+i)
+			v.ask(id, "free", "1;top:0")
+			_, s := r.setup()
+			if i%5 == 0 { // nobody waits any more
+				v.c.Close()
+				continue
+			}
+			s.answer("x")
+			v.hear()
+			s.release(causeClear)
+			v.hear()
+			v.c.Close()
+		}
+	}
+	sizes := func() (out string) {
+		r.on(func() {
+			n := r.n
+			out = fmt.Sprint(len(n.sessions), len(n.numbers), len(n.viewers), n.door.Len(), n.waiting, len(n.owed),
+				n.accounts.Of(limits.Waiting).Used, n.accounts.Of(limits.Sessions).Used, len(n.boxes)-1)
+			for _, b := range n.boxes {
+				out += fmt.Sprint(" ", len(b.standing), len(b.queue))
+				for _, k := range b.links {
+					out += fmt.Sprint(" ", len(k.tries))
+				}
+			}
+			if n.links > perBox {
+				out += fmt.Sprint(" links ", n.links)
+			}
+		})
+		return out
+	}
+	for late := time.Now().Add(patience); strings.Trim(sizes(), "0 ") != ""; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(late) {
+			t.Fatalf("left behind: %s", sizes())
+		}
+	}
+}
--- a/internal/platform/node/rig_test.go
+++ b/internal/platform/node/rig_test.go
@@ -3,16 +3,22 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"golang.org/x/net/dns/dnsmessage"
+	"golang.org/x/sys/unix"
+
 	"headmill"
+	"headmill/decide/fleet"
 	"headmill/internal/loop"
 	"headmill/internal/platform/frame"
 	"headmill/internal/platform/lines"
@@ -45,22 +51,24 @@
 		t.Fatal(err)
 	}
 	m := &media{t: t, ln: ln, name: name, got: make(chan seen, 1000)}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			m.mu.Lock()
-			m.conns = append(m.conns, c)
-			m.mu.Unlock()
-			go m.read(c)
-		}
-	}()
+	go m.serve(ln)
 	t.Cleanup(func() { ln.Close(); m.cut() })
 	return m
 }
 
+func (m *media) serve(ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		m.mu.Lock()
+		m.conns = append(m.conns, c)
+		m.mu.Unlock()
+		go m.read(c)
+	}
+}
+
 func (m *media) read(c net.Conn) {
 	var r frame.Reader
 	b := make([]byte, 4096)
@@ -121,6 +129,7 @@
 	nodes []*media
 	dns   *net.UDPConn
 	cfg   *Config
+	done  chan struct{} // closed once the loop has ended
 }
 
 func startRig(t *testing.T, nodes int, change func(*Config)) *rig {
@@ -169,9 +178,9 @@
 		t.Fatal(err)
 	}
 	r.addr = r.n.Addr()
-	done := make(chan struct{})
-	go func() { r.l.Run(); close(done) }()
-	t.Cleanup(func() { r.l.Stop(); <-done })
+	r.done, r.n.Done = make(chan struct{}), r.l.Stop
+	go func() { r.l.Run(); close(r.done) }()
+	t.Cleanup(func() { r.l.Stop(); <-r.done })
 	return r
 }
 
@@ -271,6 +280,88 @@
 	}
 }
 
+// blackHole is an address at which connections don't come up, since its queue is full, until somebody takes them.
+func blackHole(t *testing.T) (string, net.Listener) {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := errors.Join(unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), unix.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	f := os.NewFile(uintptr(fd), "hole")
+	ln, err := net.FileListener(f)
+	f.Close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	for range 20 {
+		c, err := net.DialTimeout("tcp4", ln.Addr().String(), 200*time.Millisecond)
+		if err != nil {
+			return ln.Addr().String(), ln
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+	t.Fatal("the queue never fills")
+	return "", nil
+}
+
+// takes hands the director a list of one media node.
+func (r *rig) takes(state, addr string) {
+	r.t.Helper()
+	r.on(func() {
+		err := r.n.take(&fleet.Message{Version: r.n.list.Version() + 1, Full: true, Entries: []fleet.Entry{{Name: "s-0", Addr: addr,
+			State: state, Weight: 1}}})
+		if err != nil {
+			r.t.Error(err)
+		}
+	})
+}
+
+// tells answers the director's questions from now on, as the platform's name service does.
+func (r *rig) tells(no uint32, draining func(i int) bool) {
+	name := dnsmessage.MustNewName
+	var m dnsmessage.Message
+	add := func(part *[]dnsmessage.Resource, n string, body dnsmessage.ResourceBody) {
+		*part = append(*part, dnsmessage.Resource{Header: dnsmessage.ResourceHeader{Name: name(n), Class: dnsmessage.ClassINET}, Body: body})
+	}
+	for i, x := range r.nodes {
+		host, at := x.name+".east.hosts.", x.ln.Addr().(*net.TCPAddr)
+		srv := &dnsmessage.SRVResource{Weight: 10, Port: uint16(at.Port), Target: name(host)}
+		if draining(i) {
+			srv.Priority = 1
+		}
+		add(&m.Answers, service, srv)
+		add(&m.Additionals, host, &dnsmessage.AResource{A: [4]byte(at.IP.To4())})
+		add(&m.Additionals, host, &dnsmessage.TXTResource{TXT: []string{"kind=std", fmt.Sprint("cell=", i), "started=0"}})
+	}
+	add(&m.Authorities, "svc.local.", &dnsmessage.SOAResource{NS: name("ns."), MBox: name("m."), Serial: no})
+	go func() {
+		for b := make([]byte, 512); ; {
+			n, from, err := r.dns.ReadFromUDP(b)
+			if err != nil {
+				return
+			}
+			var q dnsmessage.Message
+			if q.Unpack(b[:n]) != nil {
+				continue
+			}
+			m.Header = dnsmessage.Header{ID: q.ID, Response: true}
+			if out, err := m.Pack(); err == nil {
+				r.dns.WriteToUDP(out, from)
+			}
+		}
+	}()
+}
+
+// count is how many sessions the director holds.
+func (r *rig) count() (n int) {
+	r.on(func() { n = len(r.n.sessions) })
+	return n
+}
+
 // plays brings a session to stand.
 func (r *rig) plays(v *caller, id string) (*media, seen) {
 	r.t.Helper()
@@ -288,7 +379,7 @@
 	r.t.Helper()
 	r.wait("connections from viewers", func(Stats) bool {
 		ch := make(chan int, 1)
-		r.l.Post(func() { ch <- len(r.n.viewers) })
+		r.l.Post(func() { ch <- r.n.door.Len() })
 		return <-ch == want
 	})
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -127,18 +127,26 @@
 }
 
 func (d *Decoder) report(instance uint16, b []byte) (headmill.Report, error) {
-	r := headmill.Report{Streams: -1, Link: -1, Uplink: -1}
 	n := int(b[0])
 	if n > 4 {
-		return r, fmt.Errorf("a load report of %d values", n)
+		return headmill.Report{Streams: -1, Link: -1, Uplink: -1}, fmt.Errorf("a load report of %d values", n)
 	}
-	var capped float64 = -1
-	for i, name := range d.fields[instance] {
+	return ReadReport(d.fields[instance], func(i int, _ string) (float64, bool) {
 		if i >= n {
-			break
+			return 0, false
 		}
-		v := f32(b[1+4*i:])
-		if math.IsNaN(v) || math.IsInf(v, 0) {
+		return f32(b[1+4*i:]), true
+	}), nil
+}
+
+// ReadReport makes a load report of the figures that value tells for the settings' fields; figures that are not finite
+// count as not told.
+func ReadReport(fields []string, value func(i int, name string) (float64, bool)) headmill.Report {
+	r := headmill.Report{Streams: -1, Link: -1, Uplink: -1}
+	var capped float64 = -1
+	for i, name := range fields {
+		v, ok := value(i, name)
+		if !ok || math.IsNaN(v) || math.IsInf(v, 0) {
 			continue
 		}
 		r.Told = true
@@ -156,7 +164,7 @@
 	if r.Link < 0 {
 		r.Link = capped
 	}
-	return r, nil
+	return r
 }
 
 func (d *Decoder) event(b, tail []byte) (m Message, keep bool, err error) {
