Servers that have gone are forgotten, tokens are bounded

Need: nothing may grow in a director that runs for long. Controller.order kept every server ever told of, and each title asked for left a token, also those that bad clients make up. Now a server is forgotten a minute after it was told gone, once its sessions have ended, and at 65,536 tokens all are begun anew. Two tests fail without it.

--- a/controller.go
+++ b/controller.go
@@ -46,6 +46,8 @@
 	guessLoad    = 0.5     // load of a fleet of which nothing has been heard
 	meanPart     = 0.1     // weight of a measurement in the mean: one full server must not shut a fresh front
 	logEveryMs   = 2000.0  // ms between log lines about one server
+	forgetMs     = 60000.0 // ms after which a server that has gone is forgotten
+	tokensMost   = 1 << 16 // tokens kept; titles that nobody holds can be asked for without end
 	tickTimer    = 1
 )
 
@@ -103,7 +105,8 @@
 type server struct {
 	Server
 	rack             *rack
-	off              bool // draining or gone, from the moment it was told
+	off              bool    // draining or gone, from the moment it was told
+	goneAt           float64 // when it was told gone; 0: it is there
 	link             gauge
 	others, counted  float64 // streams of others as last told, and when; -1 when never told
 	sessions         []*session
@@ -255,9 +258,17 @@
 		}
 		s.Server, s.off = e, e.Health != Ready
 	}
-	for _, s := range c.order {
+	c.order = slices.DeleteFunc(c.order, func(s *server) bool {
 		s.off = s.off || !ev.Delta && !seen[s.ID]
-	}
+		if s.Health != Gone && (ev.Delta || seen[s.ID]) {
+			s.goneAt = 0
+		} else if s.goneAt == 0 {
+			s.Health, s.goneAt = Gone, c.now
+		} else if c.now-s.goneAt > forgetMs && len(s.sessions) == 0 {
+			delete(c.servers, s.ID)
+		}
+		return c.servers[s.ID] == nil
+	})
 	sort.Slice(c.order, func(i, j int) bool { return c.order[i].ID < c.order[j].ID })
 	clear(c.cells)
 	for _, r := range c.racks {
@@ -504,6 +515,9 @@
 			v = c.makeRoom(s, holders, rung, kb)
 		}
 		if v != nil {
+			if len(c.tokens) >= tokensMost {
+				clear(c.tokens)
+			}
 			c.tokens[s.title] = v
 			c.send(s, v, rung)
 			return
--- a/controller_test.go
+++ b/controller_test.go
@@ -741,3 +741,63 @@
 		t.Fatal("a session that broke while it played does not mark its server as lost")
 	}
 }
+
+// Servers are replaced under new names all the time; those that have gone are forgotten, after a while, and not before
+// their sessions have ended.
+func TestGoneServersAreForgotten(t *testing.T) {
+	for _, whole := range []bool{true, false} {
+		b := start(t, testConfig())
+		b.tell(0.1)
+		id, acts := b.ask(0, 42)
+		to, _, _ := sent(acts)
+		b.play(id, to)
+		list := func(l ...Server) { b.step(Event{Kind: EvServers, Servers: l, Delta: !whole}) }
+		next := Server{ID: 9000, Weight: 1}
+		all := fleet(6)
+		for i := range all {
+			all[i].Health = Gone
+		}
+		if whole { // absent is gone
+			all = nil
+		}
+		list(append(all, next)...)
+		if len(b.c.order) != 7 {
+			t.Fatalf("whole %v: %d servers are known, want 7 for a while", whole, len(b.c.order))
+		}
+		b.now += forgetMs + 1
+		list(next)
+		if len(b.c.order) != 2 || len(b.c.servers) != 2 || b.c.servers[to] == nil {
+			t.Fatalf("whole %v: %d servers are known, want the new one and that with a session", whole, len(b.c.order))
+		}
+		b.step(Event{Kind: EvSettled, Session: id, Server: to, Outcome: Reset, Finished: true})
+		list(next)
+		if len(b.c.order) != 1 || len(b.c.servers) != 1 {
+			t.Fatalf("whole %v: %d servers are known, want 1", whole, len(b.c.order))
+		}
+		list(next, fleet(6)[0]) // back
+		if v := b.c.servers[fleet(6)[0].ID]; v == nil || v.off {
+			t.Fatalf("whole %v: a server that is back can't be used", whole)
+		}
+	}
+}
+
+// A flood of titles must not fill the table of tokens.
+func TestTokensAreBounded(t *testing.T) {
+	b := start(t, testConfig())
+	b.tell(0.1)
+	for title := uint64(1); len(b.c.tokens) < tokensMost-1; title++ {
+		b.c.tokens[title] = b.c.order[0]
+	}
+	for title := uint64(1 << 40); title < 1<<40+20; title++ {
+		id, acts := b.ask(0, title)
+		to, _, ok := sent(acts)
+		if !ok {
+			t.Fatalf("not set up: %v", acts)
+		}
+		b.play(id, to)
+		b.step(Event{Kind: EvSettled, Session: id, Server: to, Outcome: Served, Finished: true})
+	}
+	if n := len(b.c.tokens); n == 0 || n > tokensMost {
+		t.Fatalf("%d tokens are kept, at most %d are allowed", n, tokensMost)
+	}
+}
