A viewer's connection stays while a session stands there; releases wait for released

Ruled out: a lost release (none was written), the media node's end coming late. At fault: decide/door, Tick: Rested did not look at what stands. Change: a connection on which a session stands does not rest; its rest begins with the session's end. It may go to any connection, as the protocol has it ('on any connection from viewers'): before, one on which nothing had ever stood was left out, so the door's test of that is replaced by one of the order of preference, and the node's test of a kept release by one in which a silent connection gets it and a second one too. TestEndWrittenToAClosingConnection makes the write cross the close each time.

--- a/decide/door/door.go
+++ b/decide/door/door.go
@@ -65,6 +65,7 @@
 type conn struct {
 	id           Conn
 	came, heard  float64
+	carried      float64 // when a session last stood on it
 	part         float64 // since when a message waits for its rest; 0: none does
 	open, stands int
 	asked, stood bool
@@ -103,7 +104,8 @@
 				out = d.shut(c, Silent, out)
 			case c.part > 0 && now-c.part > d.cfg.SilentMs:
 				out = d.shut(c, Unended, out)
-			case now-c.heard > d.cfg.RestMs:
+			case c.stands > 0: // its viewer waits there for the end of what stands, and need not say a word until then
+			case now-max(c.heard, c.carried) > d.cfg.RestMs:
 				out = d.shut(c, Rested, out)
 			}
 		}
@@ -122,6 +124,9 @@
 	case Asked:
 		c.asked = true
 	case Carries:
+		if c.stands > 0 {
+			c.carried = now
+		}
 		c.open, c.stands = ev.Open, ev.Stands
 		c.stood = c.stood || c.stands > 0
 	case Left:
@@ -158,12 +163,13 @@
 	return worst
 }
 
-// Voice is the connection for a word that belongs to none: of those on which a session has stood, since that is proof
-// of a viewer that keeps to the protocol, the one last heard.
-func (d *Door) Voice() (id Conn, ok bool) {
+// Voice is the connection for a word that belongs to none, but for those that skip names: one on which a session has
+// stood, since that is proof of a viewer that keeps to the protocol, else one that has asked, else any; of several that
+// are alike the one last heard.
+func (d *Door) Voice(skip func(Conn) bool) (id Conn, ok bool) {
 	var best *conn
 	for _, c := range d.conns {
-		if c.stood && (best == nil || c.heard > best.heard || c.heard == best.heard && c.id < best.id) {
+		if !skip(c.id) && (best == nil || c.betterVoice(best)) {
 			best = c
 		}
 	}
@@ -172,3 +178,15 @@
 	}
 	return best.id, true
 }
+
+func (c *conn) betterVoice(o *conn) bool {
+	switch {
+	case c.stood != o.stood:
+		return c.stood
+	case c.asked != o.asked:
+		return c.asked
+	case c.heard != o.heard:
+		return c.heard > o.heard
+	}
+	return c.id < o.id
+}
--- a/decide/door/door_test.go
+++ b/decide/door/door_test.go
@@ -43,22 +43,29 @@
 		{2000, heard(1, false), ""}, {2101, tick, ""}, {12001, tick, "1 rested "}})
 	run(t, "a set-up keeps it", 9, []step{{0, came(1), ""}, {1, asked(1), ""}, {1, carries(1, 1, 0), ""}, {2, heard(1, true), ""},
 		{30000, tick, ""}, {30001, carries(1, 0, 1), ""}, {30002, tick, "1 unended "}})
+	run(t, "a viewer that says nothing more waits for its session's end", 9, []step{{0, came(1), ""}, {1, asked(1), ""},
+		{2, carries(1, 0, 1), ""}, {30000, tick, ""}, {30001, carries(1, 0, 0), ""}, {40001, tick, ""}, {40002, tick, "1 rested "}})
 	run(t, "the bound takes the silent, then the resting, then what stands", 4, []step{{0, came(1), ""}, {1, came(2), ""},
 		{2, came(3), ""}, {3, came(4), ""}, {4, asked(1), ""}, {4, carries(1, 0, 1), ""}, {5, asked(2), ""}, {6, asked(4), ""},
 		{6, carries(4, 1, 0), ""}, {7, came(5), "3 crowded "}, {8, asked(5), ""}, {8, carries(5, 1, 0), ""},
 		{9, came(6), "2 crowded "}, {9, asked(6), ""}, {9, carries(6, 1, 0), ""}, {10, came(7), "1 crowded "},
 		{10, asked(7), ""}, {10, carries(7, 1, 0), ""}, {11, came(8), "8 crowded "}})
 	d := run(t, "voice", 9, []step{{0, came(1), ""}, {0, came(2), ""}, {0, came(3), ""}, {1, carries(1, 0, 1), ""},
-		{2, carries(2, 0, 1), ""}, {3, heard(2, false), ""}, {4, heard(3, false), ""}, {5, carries(2, 0, 0), ""}})
-	if c, ok := d.Voice(); c != 2 || !ok {
-		t.Fatalf("voice: %d, %v", c, ok)
+		{2, carries(2, 0, 1), ""}, {3, heard(2, false), ""}, {4, heard(3, false), ""}, {5, carries(2, 0, 0), ""},
+		{5, came(4), ""}, {5, asked(4), ""}})
+	skip := map[Conn]bool{}
+	for _, want := range []Conn{2, 1, 4, 3} { // stood and last heard, stood, asked, any
+		c, ok := d.Voice(func(c Conn) bool { return skip[c] })
+		if c != want || !ok {
+			t.Fatalf("voice: %d, %v, want %d", c, ok, want)
+		}
+		skip[c] = true
+	}
+	if _, ok := d.Voice(func(c Conn) bool { return skip[c] }); ok {
+		t.Fatal("a connection that is not wanted has the voice")
 	}
 	d.Step(6, Event{Kind: Left, Conn: 2}, nil)
-	if c, ok := d.Voice(); c != 1 || !ok || d.Len() != 2 {
+	if c, ok := d.Voice(func(Conn) bool { return false }); c != 1 || !ok || d.Len() != 3 {
 		t.Fatalf("voice: %d, %v, %d there", c, ok, d.Len())
 	}
-	d.Step(6, Event{Kind: Left, Conn: 1}, nil)
-	if _, ok := d.Voice(); ok {
-		t.Fatal("a connection on which nothing ever stood has the voice")
-	}
 }
--- a/internal/platform/node/front.go
+++ b/internal/platform/node/front.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"headmill/decide/door"
+	"headmill/decide/release"
 	"headmill/internal/loop"
 	"headmill/internal/platform/lines"
 )
@@ -19,13 +20,12 @@
 
 // viewer is one connection from viewers.
 type viewer struct {
-	n       *Node
-	c       *loop.Conn
-	id      door.Conn
-	buf     []byte
-	open    map[*session]struct{} // set-ups
-	stands  map[*session]struct{} // sessions set up here
-	trusted bool                  // a session has stood here
+	n      *Node
+	c      *loop.Conn
+	id     door.Conn
+	buf    []byte
+	open   map[*session]struct{} // set-ups
+	stands map[*session]struct{} // sessions set up here
 }
 
 // accept takes a connection, if decide/door does.
@@ -82,6 +82,7 @@
 	for s := range v.stands {
 		s.front = nil
 	}
+	v.n.releases(release.Event{Kind: release.Left, Conn: v.id})
 }
 
 // Data cuts lines.
@@ -140,8 +141,11 @@
 		if s := n.sessions[id]; s != nil {
 			n.left(s)
 		}
+		n.releases(release.Event{Kind: release.Heard, Session: release.Session(id)}) // its own end of what is over is one too
 		v.c.Write(lines.AppendReleased(n.out[:0], id))
-	case "released", "progress", "pong", "note":
+	case "released":
+		n.releases(release.Event{Kind: release.Heard, Session: release.Session(id)})
+	case "progress", "pong", "note":
 	default:
 		v.bad(errors.New("type " + m.Type))
 	}
@@ -244,8 +248,4 @@
 	delete(v.open, s)
 	v.stands[s] = struct{}{}
 	v.carries()
-	if !v.trusted {
-		v.trusted = true
-		v.n.payUp(v)
-	}
 }
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -29,6 +29,7 @@
 	"headmill/decide/door"
 	"headmill/decide/fleet"
 	"headmill/decide/limits"
+	"headmill/decide/release"
 	"headmill/decide/retire"
 	"headmill/internal/loop"
 	"headmill/internal/platform/frame"
@@ -54,7 +55,8 @@
 	entrySize = 1 << 10 // bytes that a session in the table is reckoned at
 	sweepMs   = 100.0   // between looks at what is late
 	endMs     = 400.0   // for a media node's last word on a session that its viewer ended
-	oweMs     = 8000.0  // for which a release that no connection could take is kept
+	oweMs     = 8000.0  // for which a release that no viewer has confirmed is kept (PROTOCOL, "The rules on sockets")
+	againMs   = 333.0   // for its confirmation: a third of the second in which a viewer must hear (same place)
 	unknown   = -1      // rung of a session of the start, until its media node tells it
 )
 
@@ -115,7 +117,7 @@
 	door     *door.Door
 	shut     []door.Action
 	accounts limits.Accounts
-	owed     []owed
+	pending  *release.Pending
 	links    int
 	waiting  int // sessions in asked
 	term     bool
@@ -127,13 +129,6 @@
 	Done func()
 }
 
-// owed is a release that no connection could take.
-type owed struct {
-	id    uint64
-	cause int
-	until float64
-}
-
 // New makes a director on a loop; Start opens it.
 func New(cfg *Config, l *loop.Loop, log *slog.Logger) (*Node, error) {
 	n := &Node{cfg: cfg, l: l, log: log, sessions: map[uint64]*session{}, numbers: map[headmill.SessionID]*session{},
@@ -151,10 +146,13 @@
 		MaxRetry: 400, IdleMs: 5000, OpenMs: cfg.ConnectMs + 50})
 	n.stop = retire.New(retire.Config{NoticeMs: 1500, FinishMs: slices.Max(cfg.DeadlineMs) + 200, PlayMs: math.Inf(1)})
 	n.door = door.New(door.Config{Most: cfg.Sockets / 2, SilentMs: silentMs, RestMs: restMs})
+	most := 1 << 16
 	if held := int64(cfg.MemoryMB * (1 << 20) / heldPart); held > 0 {
 		n.accounts.SetCap(limits.Waiting, held)
 		n.accounts.SetCap(limits.Sessions, held/entrySize)
+		most = int(held / entrySize)
 	}
+	n.pending = release.New(release.Config{KeepMs: oweMs, AgainMs: againMs, Most: most}, n)
 	n.feed.n = n
 	l.SetLingerMost(cfg.Sockets / 16)
 	return n, nil
@@ -418,29 +416,31 @@
 	}
 }
 
-// owe sends a release towards a viewer, on the connection that it came from or, since a session that stands belongs to
-// none, on another; where there is none it is kept for a while.
+// owe sees to it that a viewer hears of its session's end.
 func (n *Node) owe(front *viewer, id uint64, cause int) {
-	v := front
-	if v == nil || !v.c.Open() {
-		c, _ := n.door.Voice()
-		v = n.viewers[c]
-	}
-	if v == nil || !v.c.Open() {
-		n.owed = append(n.owed, owed{id, cause, n.l.Now() + oweMs})
-		return
+	ev := release.Event{Kind: release.Over, Session: release.Session(id), Cause: cause}
+	if front != nil && front.c.Open() {
+		ev.Conn = front.id
 	}
-	v.release(id, cause, 0)
+	n.releases(ev)
 }
 
-// payUp sends what is owed, once a connection is there.
-func (n *Node) payUp(v *viewer) {
-	for _, o := range n.owed {
-		if n.l.Now() < o.until {
-			v.release(o.id, o.cause, 0)
+// releases tells decide/release a fact and writes what it says. A connection that has closed meanwhile says so itself,
+// and the release comes up again.
+func (n *Node) releases(ev release.Event) {
+	for _, a := range n.pending.Step(n.l.Now(), ev, nil) {
+		if v := n.viewers[a.Conn]; v != nil {
+			v.release(uint64(a.Session), a.Cause, 0)
 		}
 	}
-	n.owed = nil
+}
+
+// Voice finds a connection for decide/release among those that can be written to.
+func (n *Node) Voice(skip func(door.Conn) bool) (door.Conn, bool) {
+	return n.door.Voice(func(c door.Conn) bool {
+		v := n.viewers[c]
+		return v == nil || !v.c.Open() || skip(c)
+	})
 }
 
 // fromWatch carries out what decide/boxes says.
@@ -493,7 +493,7 @@
 	for _, b := range n.boxes {
 		b.sweep(now)
 	}
-	n.owed = slices.DeleteFunc(n.owed, func(o owed) bool { return now >= o.until })
+	n.releases(release.Event{Kind: release.Tick})
 	for _, a := range n.stop.Step(now, retire.Facts{Asked: n.term, Hurry: n.hurry, Waiting: n.waiting,
 		Playing: len(n.sessions) - n.waiting}, nil) {
 		switch a {
--- a/internal/platform/node/node_test.go
+++ b/internal/platform/node/node_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"headmill"
 	"headmill/decide/fleet"
 	"headmill/decide/limits"
 	"headmill/internal/platform/frame"
@@ -49,32 +50,48 @@
 	}
 }
 
-// With no connection at all the release is kept until one proves itself.
-func TestEndIsKeptUntilAConnectionStands(t *testing.T) {
+// With no connection at all the release is kept until one comes. One whose peer confirms nothing is not relied on.
+func TestEndIsKeptUntilAConnectionComes(t *testing.T) {
 	r := startRig(t, 1, nil)
 	a := r.call()
 	_, s1 := r.plays(a, id1)
 	a.c.Close()
 	r.connections(0)
-	b := r.call()
-	r.connections(1)
 	s1.release(causeClear)
-	r.wait("the release is not kept", func(Stats) bool {
-		ch := make(chan int, 1)
-		r.l.Post(func() { ch <- len(r.n.owed) })
-		return <-ch == 1
-	})
-	b.ask(id2, "free", "1;top:0")
-	_, s2 := r.setup()
-	s2.answer("x")
-	got := map[string]string{}
-	for range 2 {
-		e := b.hear()
-		got[e.ID] = e.Type
+	r.pending(1)
+	mute := r.call()
+	if e := mute.hear(); e.Type != "release" || e.ID != id1 {
+		t.Fatalf("%+v", e)
+	}
+	b := r.call()
+	b.say(`{"type":"ping","id":"x","fields":{},"cause":0}`)
+	b.hear()
+	if e := b.hear(); e.Type != "release" || e.ID != id1 {
+		t.Fatalf("%+v", e)
 	}
-	if got[id1] != "release" || got[id2] != "answer" {
-		t.Fatalf("%v", got)
+	b.say(`{"type":"released","id":"%s","fields":{}}`, id1)
+	r.pending(0)
+}
+
+// A release that is written while its viewer closes the connection is read by nobody: it goes out again.
+func TestEndWrittenToAClosingConnection(t *testing.T) {
+	r := startRig(t, 1, nil)
+	a, b := r.call(), r.call()
+	r.plays(b, id2)
+	r.plays(a, id1)
+	s := r.standing(id1)
+	r.on(func() {
+		a.c.Close()
+		for s.front.c.Quiet() { // the close has reached the machine, and the loop has not seen it
+			time.Sleep(time.Millisecond)
+		}
+		r.n.ended(s, headmill.Served, causeClear, headmill.Report{})
+	})
+	if e := b.hear(); e.Type != "release" || e.ID != id1 || e.Cause != causeClear {
+		t.Fatalf("%+v", e)
 	}
+	b.say(`{"type":"released","id":"%s","fields":{}}`, id1)
+	r.pending(0)
 }
 
 // What the module gives up is answered at once, with a time to come back.
@@ -674,13 +691,14 @@
 			v.hear()
 			s.release(causeClear)
 			v.hear()
+			v.say(`{"type":"released","id":"%s","fields":{}}`, id)
 			v.c.Close()
 		}
 	}
 	sizes := func() (out string) {
 		r.on(func() {
 			n := r.n
-			out = fmt.Sprint(len(n.sessions), len(n.numbers), len(n.viewers), n.door.Len(), n.waiting, len(n.owed),
+			out = fmt.Sprint(len(n.sessions), len(n.numbers), len(n.viewers), n.door.Len(), n.waiting, n.pending.Len(),
 				n.accounts.Of(limits.Waiting).Used, n.accounts.Of(limits.Sessions).Used, len(n.boxes)-1)
 			for _, b := range n.boxes {
 				out += fmt.Sprint(" ", len(b.standing), len(b.queue))
--- a/internal/platform/node/rig_test.go
+++ b/internal/platform/node/rig_test.go
@@ -445,3 +445,12 @@
 	c.Write(frame.End(frame.Add(out, frame.Cause, []byte{0}), at))
 	m.want(frame.Pong)
 }
+
+// pending waits until so many releases have not been confirmed.
+func (r *rig) pending(want int) {
+	r.t.Helper()
+	r.wait("releases that no viewer has confirmed", func(Stats) (ok bool) {
+		r.on(func() { ok = r.n.pending.Len() == want })
+		return ok
+	})
+}
