--- a/cmd/headmill/node.go
+++ b/cmd/headmill/node.go
@@ -23,6 +23,8 @@
 
 // Run serves on the users' platform until it is told to stop and nothing plays any more.
 func (c *nodeCmd) Run() error {
+	sigs := make(chan os.Signal, 4) // first of all: until then a signal ends the process
+	signal.Notify(sigs, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	cfg, err := node.Load(c.Config)
 	if err != nil {
 		return err
@@ -50,8 +52,6 @@
 		return err
 	}
 	n.Done = l.Stop
-	sigs := make(chan os.Signal, 4)
-	signal.Notify(sigs, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	if err := n.Start(); err != nil {
 		return err
 	}
--- a/decide/fleet/fleet.go
+++ b/decide/fleet/fleet.go
@@ -106,6 +106,16 @@
 // Has tells whether a box is listed and not gone.
 func (l *List) Has(id headmill.ServerID) bool { return l.boxes[id] != nil }
 
+// Taken tells whether a listed box has an address.
+func (l *List) Taken(addr string) bool {
+	for _, k := range l.boxes {
+		if k.Addr == addr {
+			return true
+		}
+	}
+	return false
+}
+
 // Ready tells whether a box may be sent to: listed, and not draining.
 func (l *List) Ready(id headmill.ServerID) bool {
 	k := l.boxes[id]
--- a/decide/retire/retire.go
+++ b/decide/retire/retire.go
@@ -15,7 +15,7 @@
 	NoticeMs float64 // new sessions are refused for so long before the door is closed, so that balancers see it
 	FinishMs float64 // for what is out; at least the longest give-up of a class, or answers are cut short
 	PlayMs   float64 // for sessions that play
-	EndMs    float64 // for the boxes to confirm ends
+	EndMs    float64 // for the boxes to confirm ends, and for what was answered to leave
 }
 
 // Phase is where the stop stands.
@@ -53,6 +53,7 @@
 	Waiting int  // requests that are owed an answer
 	Playing int  // sessions
 	Ending  int  // ends that the boxes have not confirmed
+	Unsent  int  // connections on which answers wait to be written, and releases that no viewer has confirmed
 }
 
 // Stop is the state.
@@ -90,7 +91,7 @@
 		s.enter(now, Ending)
 		f.Ending += f.Playing
 	}
-	if s.phase == Ending && (f.Ending == 0 || now-s.since >= s.cfg.EndMs) {
+	if s.phase == Ending && (f.Ending+f.Unsent == 0 || now-s.since >= s.cfg.EndMs) {
 		s.enter(now, Gone)
 		out = append(out, CutAll)
 	}
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -49,7 +49,7 @@
 // Dial starts to connect to a loopback address. The result is told to h by Connected or Closed, never during
 // this call.
 func (l *Loop) Dial(addr string, h Handler) (*Conn, error) {
-	sa, err := loopback(addr)
+	sa, err := l.local(addr)
 	if err != nil {
 		return nil, err
 	}
@@ -326,15 +326,26 @@
 			return
 		}
 		c.h.Data(c, c.l.buf[:n])
-		if c.state != open || n < len(c.l.buf) {
+		if c.state != open || n < len(c.l.buf) && ev&unix.EPOLLRDHUP == 0 {
 			return
-		}
+		} // the peer's end came with its last bytes: both are told in one round
 	}
 }
 
 // Refused tells whether err is the peer's machine saying that nobody listens there.
 func Refused(err error) bool { return errors.Is(err, unix.ECONNREFUSED) }
 
+// Ended tells whether the peer has closed its side and all that it sent was read: its end may have reached the kernel and
+// not yet the loop.
+func (c *Conn) Ended() bool {
+	if c.state != open {
+		return true
+	}
+	var b [1]byte
+	n, _, err := unix.Recvfrom(c.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err == nil && n == 0 || err != nil && err != unix.EAGAIN && err != unix.EINTR
+}
+
 // Quiet tells whether an idle connection is still usable: open, nothing unread, no end of stream. It closes
 // the gap in which a peer's close has reached the kernel and not yet the loop.
 func (c *Conn) Quiet() bool {
@@ -345,3 +356,9 @@
 	_, _, err := unix.Recvfrom(c.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	return err == unix.EAGAIN
 }
+
+// Standing tells whether a dialled connection is up for the machine; the loop may not have seen it yet.
+func (c *Conn) Standing() bool {
+	_, err := unix.Getpeername(c.fd)
+	return err == nil
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -56,6 +56,7 @@
 	dead       []*Conn // closed in this round: told after the round's events
 	worst      float64
 	round      func()
+	home       netip.Prefix // addresses beside the loopback interface's that are served
 
 	mu     sync.Mutex
 	posted []func()
@@ -276,13 +277,30 @@
 // Close frees a loop that was never run.
 func (l *Loop) Close() { l.close() }
 
-// loopback checks that an address is IPv4 on the loopback interface; headmill listens and connects nowhere else.
-func loopback(addr string) (*unix.SockaddrInet4, error) {
+// homeBits is the length of the prefix that a director's own network is taken to have: the platform's pages place its
+// directors, media nodes and name service in one such network.
+const homeBits = 8
+
+// SetHome also serves the network that a director's own address lies in, where a platform names one. Elsewhere headmill
+// listens on and connects to the loopback interface only.
+func (l *Loop) SetHome(addr string) error {
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return fmt.Errorf("loop: address %q: want IPv4:PORT: %w", addr, err)
+	}
+	if ap.Addr().Is4() && ap.Addr().IsPrivate() {
+		l.home = netip.PrefixFrom(ap.Addr(), homeBits).Masked()
+	}
+	return nil
+}
+
+// local checks that an address is IPv4 and served: on the loopback interface, or in the director's own network.
+func (l *Loop) local(addr string) (*unix.SockaddrInet4, error) {
 	ap, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		return nil, fmt.Errorf("loop: address %q: want IPv4:PORT: %w", addr, err)
 	}
-	if !ap.Addr().Is4() || !ap.Addr().IsLoopback() {
+	if !ap.Addr().Is4() || !ap.Addr().IsLoopback() && !l.home.Contains(ap.Addr()) {
 		return nil, fmt.Errorf("loop: address %q is not on 127.0.0.0/8; headmill serves the loopback interface only", addr)
 	}
 	return &unix.SockaddrInet4{Port: int(ap.Port()), Addr: ap.Addr().As4()}, nil
@@ -300,7 +318,7 @@
 
 // Listen opens a listening socket; take is called for each connection and names its owner, nil to close it.
 func (l *Loop) Listen(addr string, take func(*Conn) Handler) (*Listener, error) {
-	sa, err := loopback(addr)
+	sa, err := l.local(addr)
 	if err != nil {
 		return nil, err
 	}
@@ -362,7 +380,16 @@
 	s.fd = -1
 }
 
-func (s *Listener) accept() {
+// Finish takes the connections that the machine has accepted already, and stops listening: closed at once, the listener
+// would reset them with what their peers have sent.
+func (s *Listener) Finish() {
+	for s.fd >= 0 && s.accept() {
+	}
+	s.Close()
+}
+
+// accept takes connections; it tells whether there may be more.
+func (s *Listener) accept() bool {
 	for range acceptMax {
 		fd, sa, err := unix.Accept4(s.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		if err != nil {
@@ -371,7 +398,7 @@
 				s.l.ctl(unix.EPOLL_CTL_MOD, s.fd, 0)
 				s.retry = s.l.After(50, func() { s.l.ctl(unix.EPOLL_CTL_MOD, s.fd, unix.EPOLLIN) })
 			}
-			return
+			return false
 		}
 		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
 		c := &Conn{l: s.l, fd: fd, state: open, peer: sa}
@@ -384,4 +411,5 @@
 			c.register()
 		}
 	}
+	return true
 }
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -370,3 +371,28 @@
 		t.Fatal(err)
 	}
 }
+
+// Nothing but the loopback interface is served, unless the director's own address lies in a private network.
+func TestHomeNetwork(t *testing.T) {
+	l, err := New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	for _, s := range []struct {
+		home, addr string
+		ok         bool
+	}{{"127.0.0.1:1", "10.1.0.9:5080", false}, {"10.0.0.4:5080", "10.1.0.9:5080", true}, {"10.0.0.4:5080", "127.0.0.1:5080", true},
+		{"10.0.0.4:5080", "192.168.0.1:5080", false}, {"10.0.0.4:5080", "8.8.8.8:53", false}, {"8.8.8.8:53", "8.8.8.8:53", false}} {
+		l.home = netip.Prefix{}
+		if err := l.SetHome(s.home); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := l.local(s.addr); (err == nil) != s.ok {
+			t.Errorf("home %s, address %s: %v", s.home, s.addr, err)
+		}
+	}
+	if l.SetHome("nowhere") == nil {
+		t.Error("an address that is none is taken")
+	}
+}
--- a/internal/loop/packet.go
+++ b/internal/loop/packet.go
@@ -18,7 +18,7 @@
 // Packet opens a datagram socket to addr. take is called for each datagram that comes from there; its bytes are only
 // valid during the call.
 func (l *Loop) Packet(addr string, take func([]byte)) (*Packet, error) {
-	sa, err := loopback(addr)
+	sa, err := l.local(addr)
 	if err != nil {
 		return nil, err
 	}
@@ -47,6 +47,18 @@
 	}
 }
 
+// Move talks to another peer from now on, on the same descriptor.
+func (p *Packet) Move(addr string) error {
+	sa, err := p.l.local(addr)
+	if err != nil {
+		return err
+	}
+	if err := unix.Connect(p.fd, sa); err != nil {
+		return fmt.Errorf("loop: datagrams to %s: %w", addr, err)
+	}
+	return nil
+}
+
 // Close ends the socket; take is not called again.
 func (p *Packet) Close() {
 	if p.fd >= 0 {
--- /dev/null
+++ b/internal/platform/node/cross_test.go
@@ -0,0 +1,255 @@
+package node
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"headmill/decide/fleet"
+	"headmill/decide/retire"
+	"headmill/internal/loop"
+	"headmill/internal/platform/frame"
+)
+
+// Tests of two events that cross (docs/design/platform.md, "Where two events cross"). The loop is held while both happen,
+// so that the bad order comes each time.
+
+// ended waits until a connection's end has reached the machine; the loop, which runs this, has not seen it.
+func ended(t *testing.T, c *loop.Conn) {
+	for late := time.Now().Add(patience); !c.Ended(); time.Sleep(time.Millisecond) {
+		if time.Now().After(late) {
+			t.Error("the end does not come")
+			return
+		}
+	}
+}
+
+func TestSetUpAndCloseInOneRead(t *testing.T) {
+	r := startRig(t, 1, nil)
+	for range 5 { // also where the connection to the media node stands already
+		v := r.call()
+		r.connections(1)
+		r.on(func() {
+			v.ask(id1, "free", "1;top:0")
+			v.c.Close()
+			for _, x := range r.n.viewers {
+				for late := time.Now().Add(patience); unread(x.c) == 0 && time.Now().Before(late); time.Sleep(time.Millisecond) {
+				}
+			}
+			time.Sleep(5 * time.Millisecond) // the end follows its bytes on loopback; an earlier read only makes this easier
+		})
+		r.connections(0)
+	}
+	if st := r.stats(); st.Attempts != 0 || st.Asked != 5 || st.Left != 5 {
+		t.Fatalf("attempts for clients that have gone: %+v", st)
+	}
+}
+
+// unread tells whether bytes wait to be read: 1, else 0.
+func unread(c *loop.Conn) int {
+	if c.Quiet() {
+		return 0
+	}
+	return 1
+}
+
+// While an attempt waits for its connection the viewer goes, and the loop reads both at once.
+func TestCloseWhileConnecting(t *testing.T) {
+	addr, hole := blackHole(t)
+	r := startRig(t, 1, func(c *Config) { c.ConnectMs = 60000 })
+	r.takes("ready", addr)
+	v := r.call()
+	v.ask(id1, "free", "1;top:0")
+	r.wait("no attempt", func(s Stats) bool { return s.Attempts == 1 })
+	s := r.standing(id1)
+	m := &media{t: t, ln: hole, name: "hole", got: make(chan seen, 100)}
+	r.on(func() {
+		v.c.Close()
+		ended(t, s.front.c)
+		go m.serve(hole)
+		for late := time.Now().Add(patience); !s.try.k.c.Standing(); time.Sleep(time.Millisecond) {
+			if time.Now().After(late) {
+				t.Error("the connection does not come up")
+				return
+			}
+		}
+	})
+	r.wait("the viewer's end is not seen", func(s Stats) bool { return s.Left == 1 })
+	w := r.call()
+	w.ask(id2, "free", "1;top:0") // on the connection that is up: the media node has got nothing before it
+	if got := m.want(frame.Setup); got.id != 0xa2 {
+		t.Fatalf("an attempt began after its viewer had gone: %+v", got)
+	}
+}
+
+// A media node's answer and the viewer's close are read in one round: nobody knows that the session stands.
+func TestAnswerAndClose(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	v.ask(id1, "paid", "1;top:0")
+	m, s := r.setup()
+	open := r.standing(id1)
+	r.on(func() {
+		v.c.Close()
+		ended(t, open.front.c)
+		s.answer("x")
+		for late := time.Now().Add(patience); unread(open.try.k.c) == 0 && time.Now().Before(late); time.Sleep(time.Millisecond) {
+		}
+	})
+	if e := m.want(frame.Release); e.id != 0xa1 || e.cause != causeClear {
+		t.Fatalf("%+v", e)
+	}
+	if st := r.stats(); st.Played != 0 || st.Left != 1 {
+		t.Fatalf("%+v", st)
+	}
+}
+
+// An answer that waits to be written when its connection ends was read by nobody.
+func TestAnswerThatNeverLeft(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	m, _ := r.plays(v, id1)
+	s := r.standing(id1)
+	r.on(func() { s.answered = s.front.c.Written() + 1; s.front.c.Close(loop.ErrSlowReader) })
+	if e := m.want(frame.Release); e.id != 0xa1 {
+		t.Fatalf("%+v", e)
+	}
+}
+
+// The media node's answer is lost with its connection: what stands there is ended.
+func TestAnswerLostWithItsConnection(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	v.ask(id1, "paid", "1;top:0")
+	m, _ := r.setup()
+	m.cut()
+	if e := m.want(frame.Release); e.id != 0xa1 || e.cause != causeClear {
+		t.Fatalf("%+v", e)
+	}
+	if e := v.hear(); e.Cause != causeError {
+		t.Fatalf("%+v", e)
+	}
+}
+
+// A connection that the machine has taken when the door closes is served.
+func TestDoorClosesOnATakenConnection(t *testing.T) {
+	r := startRig(t, 1, nil)
+	var v *caller
+	r.on(func() {
+		v = r.call()
+		v.ask(id1, "free", "1;top:0")
+		r.n.stopping(retire.CloseDoor)
+	})
+	_, s := r.setup()
+	s.answer("x")
+	if e := v.hear(); e.Type != "answer" {
+		t.Fatalf("%+v", e)
+	}
+	if c, err := net.Dial("tcp4", r.addr); err == nil {
+		c.Close()
+		t.Fatal("the door is open still")
+	}
+}
+
+// What still waits when a stop can wait no longer is answered, and its attempt given up.
+func TestStopFailsWhatWaits(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	v.ask(id1, "free", "1;top:0")
+	m, _ := r.setup()
+	r.on(func() { r.n.stopping(retire.FailWaiting) })
+	if e := v.hear(); e.Type != "release" || e.Cause != causeError {
+		t.Fatalf("%+v", e)
+	}
+	if e := m.want(frame.Release); e.id != 0xa1 || r.count() != 0 {
+		t.Fatalf("%+v, %d sessions", e, r.count())
+	}
+}
+
+// A stop waits for what is written and not taken by its peer, and for releases that nobody has confirmed.
+func TestUnsent(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	_, s := r.plays(v, id1)
+	r.on(func() {
+		c := r.n.sessions[s.id].front.c
+		c.SetLimit(0)
+		for big := make([]byte, 1<<20); c.Pending() == 0; {
+			c.Write(big)
+		}
+		if got := r.n.unsent(); got != 1 {
+			t.Errorf("%d unsent, want the viewer's", got)
+		}
+	})
+	s.release(causeClear)
+	r.pending(1)
+	r.on(func() {
+		if got := r.n.unsent(); got != 2 {
+			t.Errorf("%d unsent, want the release too", got)
+		}
+	})
+}
+
+// A client that leaves while its attempt waits for a connection says nothing of the media node.
+func TestLeavingBlamesNobody(t *testing.T) {
+	addr, _ := blackHole(t)
+	r := startRig(t, 1, func(c *Config) { c.ConnectMs = 60000 })
+	r.takes("ready", addr)
+	for i := range 3 {
+		v := r.call()
+		v.ask(id1, "free", "1;top:0")
+		r.wait("the media node is rested", func(s Stats) bool { return s.Attempts == i+1 })
+		v.c.Close()
+		r.connections(0)
+	}
+}
+
+// Idle clients hold every descriptor when the name service moves: its socket is pointed elsewhere.
+func TestReloadWithoutADescriptor(t *testing.T) {
+	r := startRig(t, 1, nil)
+	other, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	r.on(func() {
+		var was unix.Rlimit
+		if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &was); err != nil {
+			t.Error(err)
+		}
+		free, _ := unix.Dup(0)
+		unix.Close(free)
+		unix.Setrlimit(unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: uint64(free), Max: was.Max})
+		defer unix.Setrlimit(unix.RLIMIT_NOFILE, &was)
+		if _, err := r.l.Packet(other.LocalAddr().String(), func([]byte) {}); err == nil {
+			t.Error("a descriptor was left: this shows nothing")
+		}
+		if err := r.n.feed.open(other.LocalAddr().String()); err != nil {
+			t.Error(err)
+		}
+	})
+	other.SetReadDeadline(time.Now().Add(patience))
+	if _, _, err := other.ReadFromUDP(make([]byte, 512)); err != nil {
+		t.Fatalf("the new address is not asked: %v", err)
+	}
+}
+
+// A new media node has the address of one that has gone: that it answers there proves nothing for the old one's sessions.
+func TestAddressPassesToAnother(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	m := r.adopts(v, id1)
+	m.any()
+	r.on(func() {
+		if err := r.n.take(&fleet.Message{Version: 9, Full: true, Entries: []fleet.Entry{{Name: "s-new",
+			Addr: m.ln.Addr().String(), State: "ready", Weight: 1}}}); err != nil {
+			t.Error(err)
+		}
+	})
+	m.cut()
+	if e := v.hear(); e.Type != "release" || e.ID != id1 || e.Cause != causeReset {
+		t.Fatalf("%+v", e)
+	}
+}
--- a/internal/platform/node/feed.go
+++ b/internal/platform/node/feed.go
@@ -24,13 +24,16 @@
 // open asks at an address from now on.
 func (f *feed) open(addr string) error {
 	sock, err := f.n.l.Packet(addr, f.take)
-	if err != nil {
+	switch {
+	case err == nil:
+		if f.sock != nil {
+			f.sock.Close()
+		}
+		f.sock = sock
+	case f.sock != nil && f.sock.Move(addr) == nil: // no descriptor was left: idle clients may hold them all
+	default:
 		return fmt.Errorf("node: name service: %w", err)
 	}
-	if f.sock != nil {
-		f.sock.Close()
-	}
-	f.sock = sock
 	f.n.l.Cancel(f.timer)
 	f.ask()
 	return nil
--- a/internal/platform/node/front.go
+++ b/internal/platform/node/front.go
@@ -81,6 +81,9 @@
 	}
 	for s := range v.stands {
 		s.front = nil
+		if s.answered > v.c.Written() { // nobody has got its answer, so nobody knows that it stands
+			v.n.left(s)
+		}
 	}
 	v.n.releases(release.Event{Kind: release.Left, Conn: v.id})
 }
--- a/internal/platform/node/media.go
+++ b/internal/platform/node/media.go
@@ -78,6 +78,9 @@
 // ---- connections ----
 
 func (b *box) dial() *link {
+	if b.replaced() {
+		return nil
+	}
 	if len(b.links) >= perBox || b.n.links >= b.n.cfg.Sockets/3 {
 		return nil
 	}
@@ -95,6 +98,9 @@
 	return k
 }
 
+// replaced tells whether the media node has gone and another has its address: what is there now says nothing of it.
+func (b *box) replaced() bool { return !b.n.list.Has(b.id) && b.n.list.Taken(b.addr) }
+
 // drop takes a connection out of use. Its set-ups hear of it by Closed.
 func (b *box) drop(k *link) {
 	if i := slices.Index(b.links, k); i >= 0 {
@@ -151,7 +157,7 @@
 	if b.least() != nil {
 		b.hello()
 	} else if !slices.ContainsFunc(b.links, here) && b.dial() == nil {
-		b.n.tellWatch(boxes.Event{Kind: boxes.Broke, Box: boxes.Box(b.id)})
+		b.n.tellWatch(boxes.Event{Kind: boxes.Broke, Box: boxes.Box(b.id), Refused: b.replaced()})
 	}
 }
 
@@ -197,7 +203,7 @@
 func (b *box) deliver() {
 	switch {
 	case len(b.queue) == 0 || len(b.links) > 0:
-	case b.n.l.Now()-b.queued > queueMs:
+	case b.n.l.Now()-b.queued > queueMs, b.replaced():
 		b.queue = nil
 	default:
 		b.dial()
@@ -217,7 +223,7 @@
 	b.hello()
 	ready := b.n.list.Ready(b.id)
 	for _, t := range k.tries {
-		if !ready {
+		if !ready || k.addr != b.addr { // the connection reaches where the media node was
 			t.step(attempt.Event{Kind: attempt.Cancelled})
 			continue
 		}
@@ -271,8 +277,12 @@
 	if len(b.links) == 0 {
 		b.n.tellWatch(boxes.Event{Kind: boxes.Broke, Box: boxes.Box(b.id), Refused: loop.Refused(err)})
 	}
-	for _, t := range k.tries {
+	for id, t := range k.tries {
+		sent := t.a.State() == attempt.Sent
 		t.closed()
+		if sent && !loop.Refused(err) { // its answer may be lost with the connection, and what stands is nobody's
+			b.tell(frame.AppendRelease(nil, id, causeClear))
+		}
 	}
 }
 
@@ -375,6 +385,7 @@
 
 // step gives a fact to decide/attempt and carries out what it says.
 func (t *try) step(ev attempt.Event) {
+	t.moot = t.moot || ev.Kind == attempt.Cancelled
 	for _, a := range t.a.Step(ev, nil) {
 		switch a.Kind {
 		case attempt.Dial:
@@ -386,7 +397,9 @@
 				}
 			}
 		case attempt.Write:
-			t.write()
+			if !t.n.gone(t.s) {
+				t.write()
+			}
 		case attempt.Cut: // the connection stays: it carries other set-ups
 			if t.k != nil && t.wrote {
 				t.k.c.Write(frame.AppendRelease(nil, t.s.id, causeClear))
@@ -438,7 +451,7 @@
 // answered passes the session on. A description that no line can hold can't be: nobody is told that the session
 // stands, so it is ended there.
 func (t *try) answered(sdp []byte) {
-	if t.a.State() != attempt.Sent {
+	if t.a.State() != attempt.Sent || t.n.gone(t.s) {
 		return
 	}
 	s, n := t.s, t.n
@@ -490,7 +503,7 @@
 		s.try = nil
 	}
 	what := outcomes[o]
-	if t.moot && o == attempt.Full {
+	if t.moot && o.NeverRan() { // it never left: by the media node's word, or since nobody waits for it any more
 		what = headmill.Moot
 	}
 	n.tell(headmill.Event{Kind: headmill.EvSettled, Session: s.no, Server: t.b.id, Outcome: what,
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -57,6 +57,9 @@
 	endMs     = 400.0   // for a media node's last word on a session that its viewer ended
 	oweMs     = 8000.0  // for which a release that no viewer has confirmed is kept (PROTOCOL, "The rules on sockets")
 	againMs   = 333.0   // for its confirmation: a third of the second in which a viewer must hear (same place)
+	noticeMs  = 1500.0  // after SIGTERM: requests come for 0.6 s, and all are taken (DAYS, "New configurations and restarts")
+	longestMs = 3000.0  // that a deadline counts for a stop (same place)
+	finishMs  = 550.0   // beyond it, in which what waits is answered: SIGKILL comes 700 ms beyond it (same place)
 	unknown   = -1      // rung of a session of the start, until its media node tells it
 )
 
@@ -80,6 +83,7 @@
 	title      string
 	sdp        string // until it stands
 	deadline   float64
+	answered   int64 // bytes that its connection has written once the whole answer has left
 	box        *box
 	try        *try
 	timer      *loop.Timer // of ending
@@ -144,7 +148,8 @@
 	silent := math.Max(m.TellMs+m.ToldLateMs+500, 2000)
 	n.watch = boxes.New(boxes.Config{SilentMs: silent, LostMs: silent + 2*cfg.ConnectMs + 300, RetryMs: 50,
 		MaxRetry: 400, IdleMs: 5000, OpenMs: cfg.ConnectMs + 50})
-	n.stop = retire.New(retire.Config{NoticeMs: 1500, FinishMs: slices.Max(cfg.DeadlineMs) + 200, PlayMs: math.Inf(1)})
+	n.stop = retire.New(retire.Config{NoticeMs: noticeMs, FinishMs: math.Min(slices.Max(cfg.DeadlineMs), longestMs) + finishMs,
+		PlayMs: math.Inf(1), EndMs: oweMs})
 	n.door = door.New(door.Config{Most: cfg.Sockets / 2, SilentMs: silentMs, RestMs: restMs})
 	most := 1 << 16
 	if held := int64(cfg.MemoryMB * (1 << 20) / heldPart); held > 0 {
@@ -154,6 +159,9 @@
 	}
 	n.pending = release.New(release.Config{KeepMs: oweMs, AgainMs: againMs, Most: most}, n)
 	n.feed.n = n
+	if err := l.SetHome(cfg.Listen); err != nil {
+		return nil, err
+	}
 	l.SetLingerMost(cfg.Sockets / 16)
 	return n, nil
 }
@@ -373,6 +381,7 @@
 	s.box.standing[s.id] = s
 	if f := s.front; f != nil {
 		f.c.Write(line)
+		s.answered = f.c.Written() + int64(f.c.Pending())
 		f.keep(s)
 	}
 	n.tell(headmill.Event{Kind: headmill.EvPlaying, Session: s.no, Server: s.box.id, TookMs: took})
@@ -395,6 +404,20 @@
 	n.forget(s)
 }
 
+// gone looks whether the viewer of a set-up has closed its connection and the loop has not read that yet; it then gives
+// up all that waits there. An attempt that begins, or a session that stands, after its viewer has gone is nobody's.
+func (n *Node) gone(s *session) bool {
+	v := s.front
+	if s.state != asked || v == nil || !v.c.Ended() {
+		return s.state == over
+	}
+	v.c.Close(nil)
+	for s := range v.open {
+		n.left(s)
+	}
+	return true
+}
+
 // left is the viewer's own end of a session: a set-up given up, or one that stood.
 func (n *Node) left(s *session) {
 	switch s.state {
@@ -495,12 +518,55 @@
 	}
 	n.releases(release.Event{Kind: release.Tick})
 	for _, a := range n.stop.Step(now, retire.Facts{Asked: n.term, Hurry: n.hurry, Waiting: n.waiting,
-		Playing: len(n.sessions) - n.waiting}, nil) {
-		switch a {
-		case retire.CloseDoor:
-			n.listen.Close()
-		case retire.CutAll:
-			n.Done()
+		Playing: len(n.sessions) - n.waiting, Unsent: n.unsent()}, nil) {
+		n.stopping(a)
+	}
+}
+
+// stopping carries out what decide/retire says.
+func (n *Node) stopping(a retire.Action) {
+	switch a {
+	case retire.StopTaking: // what still comes was sent by clients that can't know, and is taken until the door closes
+	case retire.CloseDoor:
+		n.listen.Finish()
+	case retire.FailWaiting:
+		for _, s := range n.sessions {
+			if s.state == asked {
+				n.abandon(s)
+			}
+		}
+	case retire.EndSessions: // they stand at their media nodes, and the next start of this director is handed them
+	case retire.CutAll:
+		n.Done()
+	}
+}
+
+// abandon answers a set-up that can't be waited for any longer: failed, since its attempt may run.
+func (n *Node) abandon(s *session) {
+	n.stats.Failed++
+	t := s.try
+	n.tell(headmill.Event{Kind: headmill.EvGone, Session: s.no})
+	n.final(s, causeError, 0)
+	if t != nil {
+		t.step(attempt.Event{Kind: attempt.Cancelled})
+	}
+}
+
+// unsent counts what a stop waits for once all is answered: connections whose peers have not taken what was written,
+// and releases that no viewer has confirmed.
+func (n *Node) unsent() int {
+	count := n.pending.Len()
+	for _, v := range n.viewers {
+		if v.c.Pending() > 0 {
+			count++
+		}
+	}
+	for _, b := range n.boxes {
+		for _, k := range b.links {
+			if k.c.Pending() > 0 {
+				count++
+			}
 		}
 	}
+	return count
 }
