Turns at a cold server go by the common clock and stay open for what it bears

At fault: Controller.coldTurn. Now slots are counted on the clock all fronts have, shifted by the server's number; a turn stays open for 2 roots of n + 2 slots, n being what the slowest pace allows in tip_after_ms, less what the settings' connect_timeout_ms may delay; a turn from before the front's own start is left. Settings read: safety.tip_after_ms, allowed.connect_timeout_ms. The earlier test of 300 fronts played ten of them, whose turns need not fall into the warm-up now: it plays all 300.

--- a/api.go
+++ b/api.go
@@ -83,7 +83,9 @@
 	Subscribe       bool // the server list must be asked for
 	WarmWithinMs    float64
 	ColdFrom        float64
-	RetryRationed   bool // the three figures below apply
+	TipMs           float64 // time in which a cold server bears what its pace allows, and a little more for chance
+	ConnectMs       float64 // that a set-up may wait for a connection
+	RetryRationed   bool    // the three figures below apply
 	MinExtra        float64
 	RepeatRatio     float64
 	LookBackMs      float64
@@ -258,7 +260,8 @@
 		{"MaxRetryAfterMs", c.MaxRetryAfterMs},
 
 		{"WarmWithinMs", c.WarmWithinMs},
-		{"ColdFrom", c.ColdFrom}, {"MinExtra", c.MinExtra}, {"RepeatRatio", c.RepeatRatio},
+		{"ColdFrom", c.ColdFrom}, {"TipMs", c.TipMs}, {"ConnectMs", c.ConnectMs},
+		{"MinExtra", c.MinExtra}, {"RepeatRatio", c.RepeatRatio},
 		{"LookBackMs", c.LookBackMs},
 	} {
 		if !figure(f.v) {
--- a/controller.go
+++ b/controller.go
@@ -161,6 +161,7 @@
 type Controller struct {
 	cfg           Config
 	rng           *rand.Rand
+	began         float64 // time of the first Step
 	now, perPlace float64 // kB/s of link for each place, where weights tell nothing
 	out           []Action
 	servers       map[ServerID]*server
@@ -204,6 +205,9 @@
 
 // Step takes the events of one moment in their order and appends the actions to out.
 func (c *Controller) Step(now float64, events []Event, out []Action) []Action {
+	if c.began == 0 {
+		c.began = now
+	}
 	c.now, c.out = now, out
 	for i := range events {
 		ev := &events[i]
@@ -722,15 +726,26 @@
 	return !c.cold(v) || c.coldTurn(v)
 }
 
-// coldTurn paces set-ups to a cold server: one each slot, and the slots go round the fronts, so that all
-// together stay under its slowest pace without a word between them.
+// coldTurn paces set-ups to a cold server: one each slot at its slowest pace, and the slots go round the
+// fronts, so that all together stay under it without a word between them. Slots are counted on the clock
+// that all fronts have and not from the start, which those that saw the server fail date each by itself. A
+// turn stays open for what the server bears beyond its pace, n + 2 roots of n + 2 in TipMs, less what a
+// connection may come up late: a front of little traffic would miss a turn of one slot. One that was open
+// before this front's own start may be spent.
 func (c *Controller) coldTurn(v *server) bool {
 	slot := c.cfg.WarmWithinMs / math.Max(c.places(v)*math.Max(c.cfg.ColdFrom, 0.05), 1)
-	i := math.Floor((c.now - v.coldAt) / slot)
-	if int(i)%c.cfg.Fronts != c.cfg.Me || math.IsInf(slot, 0) {
+	if !(slot > 0) {
 		return false
 	}
-	return v.lastCold < v.coldAt || math.Floor((v.lastCold-v.coldAt)/slot) != i
+	open := 1.0
+	if c.cfg.TipMs > 0 {
+		open = math.Max(1, math.Floor(2*math.Sqrt(c.cfg.TipMs/slot)+2-c.cfg.ConnectMs/slot))
+	}
+	fronts, i := float64(c.cfg.Fronts), math.Floor(c.now/slot)
+	first := math.Mod(float64(c.cfg.Me)+float64(mix(uint64(v.ID))%uint64(c.cfg.Fronts)), fronts)
+	age := math.Mod(math.Mod(i-first, fronts)+fronts, fronts)
+	turn := (i - age) * slot // its begin; one set-up each
+	return age < open && v.lastCold < turn && turn >= c.began
 }
 
 func (c *Controller) ration() bool {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -112,6 +112,7 @@
 		MaxRetryAfterMs: t.num("allowed.max_retry_after_ms"), RetryAfter: t.bool("allowed.retry_after"),
 		Subscribe:    t.str("discovery") == "subscribe",
 		WarmWithinMs: t.num("safety.warm_within_ms"), ColdFrom: t.num("safety.cold_from"),
+		TipMs: t.num("safety.tip_after_ms"), ConnectMs: t.num("allowed.connect_timeout_ms"),
 		RetryRationed: rationed || least, MinExtra: t.num("safety.min_extra"),
 		RepeatRatio: t.num("safety.repeat_ratio"), LookBackMs: t.num("safety.look_back_ms"),
 	}
--- a/size_test.go
+++ b/size_test.go
@@ -1,6 +1,11 @@
 package headmill
 
-import "testing"
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
 
 // Tests of what many fronts do together, each knowing little.
 
@@ -165,7 +170,7 @@
 	}
 }
 
-// Ten fronts of 300 press one cold server at the same time; together they must stay under its budget.
+// 300 fronts press one cold server at the same time; together they must stay under its budget, and some must send.
 func TestColdServerAtThreeHundredFronts(t *testing.T) {
 	cfg := bigConfig(300, 10)
 	cfg.WarmWithinMs, cfg.Places = 10000, []int{30}
@@ -175,12 +180,12 @@
 	}
 	l[0].Health, l[0].UpSinceMs = Ready, 1e6
 	var fronts []*Controller
-	for me := range 10 {
+	for me := range cfg.Fronts {
 		cfg.Me = me
 		fronts = append(fronts, front(t, cfg, uint64(me), l))
 	}
 	var at []float64
-	for now := 1e6; now < 1e6+cfg.WarmWithinMs; now += 10 {
+	for now := 1e6; now < 1e6+cfg.WarmWithinMs; now += 50 {
 		for _, c := range fronts {
 			ev := Event{Kind: EvRequest, Session: SessionID(now-1e6) + 1, Title: 1, RemainingMs: 3000, Copies: 3}
 			if to, _, ok := sent(c.Step(now, []Event{ev}, nil)); ok {
@@ -206,6 +211,63 @@
 	}
 }
 
+// 300 fronts that date a cold server's start each by itself, some of which start again in between and whose connections
+// come up late: in any TipMs it gets no more than it bears, and sparse fronts still warm it.
+func TestColdServerForAllFrontsTogether(t *testing.T) {
+	const n, warm, tip = 300, 12000.0, 1000.0
+	for name, every := range map[string]float64{"pressed": 10, "sparse": 1000} {
+		cfg := bigConfig(n, 10)
+		cfg.WarmWithinMs, cfg.ColdFrom, cfg.TipMs, cfg.ConnectMs, cfg.Places = warm, 0.4, tip, 250, []int{316}
+		l := bigFleet(10)
+		for i := range l {
+			l[i].Health = Gone
+		}
+		l[0].Health = Ready
+		r := rand.New(rand.NewPCG(1, 2))
+		var at []float64
+		for me := range n {
+			cfg.Me = me
+			begin := func(now float64) *Controller {
+				l[0].UpSinceMs = 1e6 - 500*r.Float64() // as this front believes
+				c, err := New(cfg, uint64(me))
+				if err != nil {
+					t.Fatal(err)
+				}
+				c.Step(now, []Event{{Kind: EvServers, Servers: l}}, nil)
+				return c
+			}
+			c, again := begin(1e6), 1e6+warm*r.Float64()
+			for now := 1e6 + every*r.Float64(); now < 1e6+warm-500; now += every {
+				if me%3 == 0 && now > again { // killed and started anew: it has forgotten what it sent
+					c, again = begin(now), math.Inf(1)
+				}
+				ev := Event{Kind: EvRequest, Session: SessionID(now-1e6) + 1, Title: 1, RemainingMs: 3000, Copies: 3}
+				if to, _, ok := sent(c.Step(now, []Event{ev}, nil)); ok {
+					at = append(at, now+cfg.ConnectMs*r.Float64())
+					c.Step(now, []Event{{Kind: EvSettled, Session: ev.Session, Server: to, Outcome: Moot, Finished: true}}, nil)
+				}
+			}
+		}
+		slices.Sort(at)
+		allowed := float64(cfg.Places[0]) / warm * cfg.ColdFrom * tip
+		for i := range at {
+			got := 0.0
+			for _, x := range at[i:] {
+				if x < at[i]+tip {
+					got++
+				}
+			}
+			if got > allowed+2*math.Sqrt(allowed)+2 {
+				t.Errorf("%s: %v set-ups in %v ms, it bears %.1f", name, got, tip, allowed+2*math.Sqrt(allowed)+2)
+			}
+		}
+		if most := allowed * warm / tip; float64(len(at)) < most/4 {
+			t.Errorf("%s: %d set-ups in its warm-up, %.0f are allowed: it is not warmed", name, len(at), most)
+		}
+		t.Logf("%s: %d set-ups, %.0f allowed", name, len(at), allowed*warm/tip)
+	}
+}
+
 // An empty list, titles without holders, every title everywhere, a late batch and a jump of the clock.
 func TestEdgesAtSize(t *testing.T) {
 	c := front(t, bigConfig(300, 300), 1, nil)
