--- a/internal/platform/node/config_test.go
+++ b/internal/platform/node/config_test.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"testing"
+
+	"headmill"
 )
 
 const goodConfig = `{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f","dns":"127.0.0.1:53",
@@ -52,3 +54,45 @@
 		t.Error("a file that is not there is taken")
 	}
 }
+
+// Two directors of unlike settings in one process: classes, tenants, times to come back, waits and attempts of one never
+// reach the other.
+func TestTwoCustomersSideBySide(t *testing.T) {
+	a := startRig(t, 2, nil)
+	b := startRig(t, 2, func(c *Config) {
+		c.Classes, c.Tenants = map[string]int{"gold": 0, "paid": 1}, map[string]int{"zeta": 0} // "paid" may be repeated here
+		c.DeadlineMs = []float64{1000, 500}
+		c.Module.Classes[0].Repeat, c.Module.Classes[1].Repeat = headmill.Once, headmill.Repeatable
+		c.Module.MaxRetryAfterMs, c.Module.MaxAttempts = 123, 2
+	})
+	ask := func(r *rig, class, tenant, left string) (*caller, reply) {
+		v := r.call()
+		v.say(`{"type":"setup","id":"%s","fields":{"class":"%s","left":"%s","tenant":"%s","key":"7f3a9c21e0b4d655","extras":"home:0;copies:2;top:0"},"sdp":"x"}`,
+			id1, class, left, tenant)
+		_, s := r.setup()
+		s.release(causeError)
+		if class == "paid" && r == b { // the second of its two attempts
+			_, s = r.setup()
+			s.release(causeError)
+		}
+		return v, v.hear()
+	}
+	if _, e := ask(a, "paid", "acme", "3000"); e.Cause != causeError || a.stats().Attempts != 1 {
+		t.Errorf("a paid set-up of the first: %+v, %+v", e, a.stats())
+	}
+	if _, e := ask(b, "paid", "zeta", "500"); e.Cause != causeCongested || e.Fields["wait"] != "123" || b.stats().Attempts != 2 {
+		t.Errorf("a repeatable one of the second: %+v, %+v", e, b.stats())
+	}
+	for _, x := range []struct {
+		r                   *rig
+		class, tenant, left string
+	}{{a, "gold", "acme", "500"}, {a, "paid", "zeta", "500"}, {b, "free", "zeta", "500"}, {b, "paid", "acme", "500"},
+		{b, "paid", "zeta", "3000"}} {
+		v := x.r.call()
+		v.say(`{"type":"setup","id":"%s","fields":{"class":"%s","left":"%s","tenant":"%s","key":"7f3a9c21e0b4d655","extras":"home:0;copies:2;top:0"},"sdp":"x"}`,
+			id2, x.class, x.left, x.tenant)
+		if e := v.hear(); e.Type != "release" || e.Cause != causeInvalid {
+			t.Errorf("%s of %s within %s ms: %+v", x.class, x.tenant, x.left, e)
+		}
+	}
+}
