--- a/cmd/headmill/node.go
+++ b/cmd/headmill/node.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"strings"
 	"syscall"
+	"time"
 
 	"headmill/internal/config"
 	"headmill/internal/loop"
@@ -62,7 +63,7 @@
 				n.Stop()
 				continue
 			}
-			fresh, err := node.Load(c.Config)
+			fresh, err := loadAgain(c.Config)
 			if err != nil {
 				log.Error("configuration not read again; the old one stays", "error", err.Error())
 				continue
@@ -74,3 +75,15 @@
 	log.Info("stopped", "stats", fmt.Sprintf("%+v", n.Stats()))
 	return err
 }
+
+// loadAgain reads the configuration after SIGHUP. A file that is still being written, or no descriptor to read it with,
+// is over in a moment: it is tried for two seconds.
+func loadAgain(path string) (cfg *node.Config, err error) {
+	for range 20 {
+		if cfg, err = node.Load(path); err == nil {
+			return cfg, nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return nil, err
+}
--- a/internal/platform/node/config.go
+++ b/internal/platform/node/config.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -28,6 +30,8 @@
 	Classes, Tenants  map[string]int
 	DeadlineMs        []float64 // longest wait of each class
 	ConnectMs         float64   // for a connection to a media node
+	KeepAliveMs       float64   // after which media nodes close a connection that rests
+	DrainGraceMs      float64   // for which a drain that was told may be overlooked
 }
 
 type file struct {
@@ -99,12 +103,25 @@
 	if err := each(kv, "tenants", func(i int, p string) error { c.Tenants[kv[p+"name"]] = i; return nil }); err != nil {
 		return nil, err
 	}
-	c.ConnectMs = 250 // where the platform states none
-	if v, ok := kv["allowed.connect_timeout_ms"]; ok {
-		if c.ConnectMs, err = strconv.ParseFloat(v, 64); err != nil || !(c.ConnectMs > 0) || math.IsInf(c.ConnectMs, 0) {
-			return nil, fmt.Errorf("settings.allowed.connect_timeout_ms is %q", v)
+	if len(c.DeadlineMs) == 0 {
+		return nil, errors.New("settings.categories is empty")
+	}
+	for _, f := range []struct {
+		key  string
+		to   *float64
+		none float64 // where the settings state none
+	}{{"allowed.connect_timeout_ms", &c.ConnectMs, slices.Min(c.DeadlineMs) / 4}, {"allowed.keepalive_ms", &c.KeepAliveMs, toldMs},
+		{"safety.drain_grace_ms", &c.DrainGraceMs, 0}} {
+		*f.to = f.none
+		if v, ok := kv[f.key]; ok {
+			if *f.to, err = strconv.ParseFloat(v, 64); err != nil || !(*f.to >= 0) || math.IsInf(*f.to, 0) {
+				return nil, fmt.Errorf("settings.%s is %q", f.key, v)
+			}
 		}
 	}
+	if c.ConnectMs == 0 {
+		return nil, fmt.Errorf("settings.allowed.connect_timeout_ms is 0")
+	}
 	if c.Sockets == 0 {
 		c.Sockets = 1024
 	}
--- a/internal/platform/node/config_test.go
+++ b/internal/platform/node/config_test.go
@@ -96,3 +96,23 @@
 		}
 	}
 }
+
+// Times come from the settings; where those state none, from others of theirs.
+func TestTimesOfTheSettings(t *testing.T) {
+	c, err := Parse([]byte(goodConfig))
+	if err != nil || c.ConnectMs != 120.5 || c.KeepAliveMs != toldMs || c.DrainGraceMs != 0 {
+		t.Fatalf("%+v, %v", c, err)
+	}
+	text := strings.Replace(goodConfig, `"connect_timeout_ms":120.5`, `"keepalive_ms":15000`, 1)
+	text = strings.Replace(text, `"tenants"`, `"safety":{"drain_grace_ms":400,"tip_after_ms":1500},"tenants"`, 1)
+	c, err = Parse([]byte(text))
+	if err != nil || c.ConnectMs != 750 || c.KeepAliveMs != 15000 || c.DrainGraceMs != 400 || c.Module.TipMs != 1500 {
+		t.Fatalf("%+v, %v", c, err)
+	}
+	if _, err := Parse([]byte(strings.Replace(goodConfig, `"connect_timeout_ms":120.5`, `"connect_timeout_ms":0`, 1))); err == nil {
+		t.Error("a connect time-out of 0 is taken")
+	}
+	if _, err := Parse([]byte(strings.Replace(goodConfig, `"categories":`, `"other":`, 1))); err == nil {
+		t.Error("no class at all is taken")
+	}
+}
--- a/internal/platform/node/feed.go
+++ b/internal/platform/node/feed.go
@@ -9,8 +9,9 @@
 
 const (
 	service  = "_api._tcp.svc.local."
-	askMs    = 200.0 // between questions: a drain must be known well within its grace
-	openAsks = 16    // questions whose answers are still awaited
+	toldMs   = 1500.0 // after which an event counts as told, whether an answer came or not (PROTOCOL, "The name service")
+	asks     = 8      // questions that fit into that time and the settings' grace: some answers get lost
+	openAsks = 16     // questions whose answers are still awaited
 )
 
 // feed asks the name service for the whole list, again and again.
@@ -40,7 +41,7 @@
 }
 
 func (f *feed) ask() {
-	f.timer = f.n.l.After(askMs, f.ask)
+	f.timer = f.n.l.After((toldMs+f.n.cfg.DrainGraceMs)/asks, f.ask)
 	f.last++
 	if q, err := names.Query(f.last, service); err == nil {
 		f.sock.Send(q)
--- a/internal/platform/node/front.go
+++ b/internal/platform/node/front.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	silentMs  = 2000.0   // for which a connection may stand without a set-up, or a line without its end
-	restMs    = 10000.0  // for which one may rest that carries nothing
+	silentMs  = 2000.0   // for which one may be without a set-up, or a line without its end: 3 s are owed (DAYS, "Bad clients")
+	restMs    = 10000.0  // for which one may rest that carries nothing: viewers close it after 4 s (PROTOCOL)
 	viewerOut = 64 << 10 // bytes that may wait for a viewer that does not read
 )
 
--- a/internal/platform/node/media.go
+++ b/internal/platform/node/media.go
@@ -15,11 +15,11 @@
 )
 
 const (
-	perBox    = 8        // connections to one media node at most
-	partialMs = 300.0    // for which the rest of a message may be awaited
+	perBox    = 8        // connections to one media node at most: each carries one set-up while there are enough
+	partialMs = 300.0    // for which the rest of a message may be awaited: 16 KiB at most (PROTOCOL, "Messages")
 	boxOut    = 64 << 10 // bytes that may wait for a media node
 	unusedMs  = 60000.0  // after which a media node that is listed and not used is forgotten
-	queueMs   = 20000.0  // for which messages are kept that no connection could take
+	queueMs   = 20000.0  // for which messages are kept that no connection could take: over the 8 s of a release (PROTOCOL)
 	queueMost = 256      // messages kept for a media node that is being reached
 )
 
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -51,10 +51,10 @@
 )
 
 const (
-	heldPart  = 8       // of the memory: what set-ups that wait may hold, and once more what sessions may
-	entrySize = 1 << 10 // bytes that a session in the table is reckoned at
-	sweepMs   = 100.0   // between looks at what is late
-	endMs     = 400.0   // for a media node's last word on a session that its viewer ended
+	heldPart  = 8       // of limits.memory_mb: what set-ups that wait may hold, and once more what sessions may
+	entrySize = 1 << 10 // bytes that a session in the table is reckoned at (measured: a few hundred)
+	sweepMs   = 100.0   // between looks at what is late: a tenth of the second in which releases are due (PROTOCOL)
+	endMs     = 400.0   // for a media node's last word on a session that its viewer ended; none is owed (PROTOCOL)
 	oweMs     = 8000.0  // for which a release that no viewer has confirmed is kept (PROTOCOL, "The rules on sockets")
 	againMs   = 333.0   // for its confirmation: a third of the second in which a viewer must hear (same place)
 	noticeMs  = 1500.0  // after SIGTERM: requests come for 0.6 s, and all are taken (DAYS, "New configurations and restarts")
@@ -144,10 +144,15 @@
 	}
 	m := &cfg.Module
 	n.list = fleet.New(fleet.Config{MaxBoxes: 4096, Cells: m.Cells, Kinds: len(cfg.Words.Kinds)})
-	// Loads come on one session of each media node once in TellMs, as late as ToldLateMs: silence for longer is a sign.
-	silent := math.Max(m.TellMs+m.ToldLateMs+500, 2000)
-	n.watch = boxes.New(boxes.Config{SilentMs: silent, LostMs: silent + 2*cfg.ConnectMs + 300, RetryMs: 50,
-		MaxRetry: 400, IdleMs: 5000, OpenMs: cfg.ConnectMs + 50})
+	// Loads come on one session of each media node once in TellMs, as late as ToldLateMs: silence for longer is a sign,
+	// with two connections' time over for the loop's own lateness. Where none are told, answers have to do, and a
+	// client's longest wait stands for the interval.
+	silent := m.TellMs + m.ToldLateMs + 2*cfg.ConnectMs
+	if m.TellMs == 0 {
+		silent = slices.Max(cfg.DeadlineMs)
+	}
+	n.watch = boxes.New(boxes.Config{SilentMs: silent, LostMs: silent + 3*cfg.ConnectMs, RetryMs: cfg.ConnectMs / 4,
+		MaxRetry: 2 * cfg.ConnectMs, IdleMs: cfg.KeepAliveMs / 3, OpenMs: cfg.ConnectMs + sweepMs/2})
 	n.stop = retire.New(retire.Config{NoticeMs: noticeMs, FinishMs: math.Min(slices.Max(cfg.DeadlineMs), longestMs) + finishMs,
 		PlayMs: math.Inf(1), EndMs: oweMs})
 	n.door = door.New(door.Config{Most: cfg.Sockets / 2, SilentMs: silentMs, RestMs: restMs})
