What ends a session is told again when its connection breaks; pieces have their own time

A connection on which lines or messages come in pieces that always end in the middle of the next one kept the time of its first piece (viewer.Data told decide/door only the last state, link.Data set the time only where nothing waited before): good viewers were closed after 2 s, media nodes' connections given up after 300 ms. Tests: TestReleaseLostWithItsConnection, TestPiecesAcrossLines, TestPiecesAcrossMessages, each seen to fail without its line.

--- a/internal/platform/node/cross_test.go
+++ b/internal/platform/node/cross_test.go
@@ -1,12 +1,14 @@
 package node
 
 import (
+	"fmt"
 	"net"
 	"testing"
 	"time"
 
 	"golang.org/x/sys/unix"
 
+	"headmill/decide/door"
 	"headmill/decide/fleet"
 	"headmill/decide/retire"
 	"headmill/internal/loop"
@@ -16,8 +18,8 @@
 // Tests of two events that cross (docs/design/platform.md, "Where two events cross"). The loop is held while both happen,
 // so that the bad order comes each time.
 
-// ended waits until a connection's end has reached the machine; the loop, which runs this, has not seen it.
-func ended(t *testing.T, c *loop.Conn) {
+// unseen waits until a connection's end has reached the machine; the loop, which runs this, has not seen it.
+func unseen(t *testing.T, c *loop.Conn) {
 	for late := time.Now().Add(patience); !c.Ended(); time.Sleep(time.Millisecond) {
 		if time.Now().After(late) {
 			t.Error("the end does not come")
@@ -67,7 +69,7 @@
 	m := &media{t: t, ln: hole, name: "hole", got: make(chan seen, 100)}
 	r.on(func() {
 		v.c.Close()
-		ended(t, s.front.c)
+		unseen(t, s.front.c)
 		go m.serve(hole)
 		for late := time.Now().Add(patience); !s.try.k.c.Standing(); time.Sleep(time.Millisecond) {
 			if time.Now().After(late) {
@@ -93,7 +95,7 @@
 	open := r.standing(id1)
 	r.on(func() {
 		v.c.Close()
-		ended(t, open.front.c)
+		unseen(t, open.front.c)
 		s.answer("x")
 		for late := time.Now().Add(patience); unread(open.try.k.c) == 0 && time.Now().Before(late); time.Sleep(time.Millisecond) {
 		}
@@ -253,3 +255,71 @@
 		t.Fatalf("%+v", e)
 	}
 }
+
+// What ends a session is written into a connection that the media node is just resetting: it comes again on another.
+func TestReleaseLostWithItsConnection(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	m, _ := r.plays(v, id1)
+	s := r.standing(id1)
+	r.on(func() {
+		k := s.box.links[0]
+		m.cut()
+		unseen(t, k.c)
+		r.n.left(s)
+	})
+	if e := m.want(frame.Release); e.id != 0xa1 || e.cause != causeClear {
+		t.Fatalf("%+v", e)
+	}
+}
+
+// later waits until the loop's clock has moved on, and returns it.
+func (r *rig) later() (now float64) {
+	r.on(func() { now = r.l.Now() })
+	for was := now; now < was+5; r.on(func() { now = r.l.Now() }) {
+		time.Sleep(time.Millisecond)
+	}
+	return now
+}
+
+// Lines that come in pieces which always end in the middle of the next one: each has its own time.
+func TestPiecesAcrossLines(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	_, s := r.plays(v, id1) // the connection has asked
+	s.release(causeClear)
+	v.hear()
+	line := `{"type":"ping","id":"x","fields":{},"cause":0}` + "\n"
+	fmt.Fprint(v.c, line+line[:5])
+	v.hear()
+	first := r.later()
+	fmt.Fprint(v.c, line[5:]+line[:5])
+	if e := v.hear(); e.Type != "pong" {
+		t.Fatalf("%+v", e)
+	}
+	r.on(func() {
+		if out := r.n.door.Step(first+silentMs, door.Event{Kind: door.Tick}, nil); len(out) > 0 {
+			t.Errorf("a line that is not yet late closes its connection: %v", out)
+		}
+	})
+}
+
+// The same of a media node's messages.
+func TestPiecesAcrossMessages(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	m, s := r.plays(v, id1)
+	out, at := frame.Begin(nil, frame.Ping, 1)
+	out = frame.End(frame.Add(out, frame.Cause, []byte{0}), at)
+	cut := append(out[3:len(out):len(out)], out[:3]...)
+	s.c.Write(append(out[:len(out):len(out)], out[:3]...))
+	m.want(frame.Pong)
+	first := r.later()
+	s.c.Write(cut)
+	m.want(frame.Pong)
+	r.on(func() {
+		if k := r.n.sessions[s.id].box.links[0]; !k.r.Partial() || k.partial < first {
+			t.Errorf("the rest of a message is awaited since %v, it began after %v", k.partial, first)
+		}
+	})
+}
--- a/internal/platform/node/front.go
+++ b/internal/platform/node/front.go
@@ -90,7 +90,13 @@
 
 // Data cuts lines.
 func (v *viewer) Data(c *loop.Conn, b []byte) {
-	defer func() { v.n.close(door.Event{Kind: door.Heard, Conn: v.id, Part: len(v.buf) > 0}) }()
+	whole := false
+	defer func() {
+		if whole { // a part after a whole line is another line's: it has its own time
+			v.n.close(door.Event{Kind: door.Heard, Conn: v.id})
+		}
+		v.n.close(door.Event{Kind: door.Heard, Conn: v.id, Part: len(v.buf) > 0})
+	}()
 	for len(b) > 0 && c.Open() {
 		i := bytes.IndexByte(b, '\n')
 		if len(v.buf)+len(b) > lines.Max && (i < 0 || len(v.buf)+i > lines.Max) {
@@ -107,6 +113,7 @@
 			v.buf = nil
 		}
 		b = b[i+1:]
+		whole = true
 		v.line(line)
 	}
 }
--- a/internal/platform/node/media.go
+++ b/internal/platform/node/media.go
@@ -20,6 +20,7 @@
 	boxOut    = 64 << 10 // bytes that may wait for a media node
 	unusedMs  = 60000.0  // after which a media node that is listed and not used is forgotten
 	queueMs   = 20000.0  // for which messages are kept that no connection could take: over the 8 s of a release (PROTOCOL)
+	lateMs    = 1000.0   // before a connection's end, in which what ended a session there may not have been read
 	queueMost = 256      // messages kept for a media node that is being reached
 )
 
@@ -45,9 +46,16 @@
 	r       frame.Reader
 	tries   map[uint64]*try
 	partial float64 // since when a message waits for its rest
+	ended   []ended // releases written lately, the oldest first
 	timer   *loop.Timer
 }
 
+// ended is a session that the media node was told to end, and when.
+type ended struct {
+	id uint64
+	at float64
+}
+
 // try is one attempt, from the module's word to its outcome.
 type try struct {
 	n     *Node
@@ -184,6 +192,23 @@
 	}
 }
 
+// release ends a session or gives up a set-up here. Media nodes confirm nothing, so what was written shortly before the
+// connection's end may be lost with it and is written again.
+func (k *link) release(id uint64) {
+	now := k.b.n.l.Now()
+	k.ended = append(slices.DeleteFunc(k.ended, func(e ended) bool { return now-e.at > lateMs }), ended{id, now})
+	k.c.Write(frame.AppendRelease(nil, id, causeClear))
+}
+
+// release ends a session at the media node, on any connection or on the next one that stands.
+func (b *box) release(id uint64) {
+	if k := b.least(); k != nil {
+		k.release(id)
+		return
+	}
+	b.tell(frame.AppendRelease(nil, id, causeClear))
+}
+
 // tell writes a message on a session, on any connection or on the next one that stands.
 func (b *box) tell(m []byte) {
 	if k := b.least(); k != nil {
@@ -240,6 +265,7 @@
 	n.tellWatch(boxes.Event{Kind: boxes.Heard, Box: boxes.Box(k.b.id)})
 	was := k.r.Partial()
 	err := k.r.Feed(data, func(m *frame.Message) bool {
+		was = false // what waits for its rest after this is another message
 		k.message(m)
 		return c.Open()
 	})
@@ -262,7 +288,7 @@
 	k.b.drop(k)
 	k.c.Close(nil)
 	for id := range k.tries {
-		k.b.tell(frame.AppendRelease(nil, id, causeClear))
+		k.b.release(id)
 	}
 }
 
@@ -281,9 +307,15 @@
 		sent := t.a.State() == attempt.Sent
 		t.closed()
 		if sent && !loop.Refused(err) { // its answer may be lost with the connection, and what stands is nobody's
-			b.tell(frame.AppendRelease(nil, id, causeClear))
+			b.release(id)
+		}
+	}
+	for _, e := range k.ended {
+		if b.n.l.Now()-e.at <= lateMs && !loop.Refused(err) {
+			b.release(e.id)
 		}
 	}
+	k.ended = nil
 }
 
 func (k *link) message(m *frame.Message) {
@@ -402,7 +434,7 @@
 			}
 		case attempt.Cut: // the connection stays: it carries other set-ups
 			if t.k != nil && t.wrote {
-				t.k.c.Write(frame.AppendRelease(nil, t.s.id, causeClear))
+				t.k.release(t.s.id)
 			}
 			t.off()
 		case attempt.Keep:
@@ -458,7 +490,7 @@
 	n.out = lines.AppendAnswer(n.out[:0], s.id, sdp)
 	if len(n.out) > lines.Max {
 		n.stats.Spoilt++
-		t.k.c.Write(frame.AppendRelease(nil, s.id, causeClear))
+		t.k.release(s.id)
 		t.broke()
 		return
 	}
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -32,7 +32,6 @@
 	"headmill/decide/release"
 	"headmill/decide/retire"
 	"headmill/internal/loop"
-	"headmill/internal/platform/frame"
 	"headmill/internal/platform/lines"
 	"headmill/internal/wire"
 )
@@ -436,7 +435,7 @@
 		}
 	case plays:
 		s.state = ending
-		s.box.tell(frame.AppendRelease(nil, s.id, causeClear))
+		s.box.release(s.id)
 		s.timer = n.l.After(endMs, func() {
 			s.timer = nil
 			n.ended(s, headmill.Cancelled, causeCancelled, headmill.Report{})
