An error is judged by how the request's next attempt ends; crossing errors shut nobody

At fault: Controller.blame, which took each first error as a doubt at once. An error of a request that may be repeated now waits for its next attempt: played elsewhere, it was the server's; erred elsewhere too, the request's own; not answered by anybody, a doubt as before. TestErrorsThatCrossShutNoServer fails without it.

--- a/controller.go
+++ b/controller.go
@@ -136,7 +136,8 @@
 	server              *server // of the attempt that is out or plays
 	rung, plan          int     // in force; what lower or raise means to set
 	playing, mayHaveRun bool
-	erred               *server // where it erred: an error at another too is the request's fault
+	erred               *server // where it erred, until its next attempt tells whose fault that was
+	errs                int     // attempts that erred
 	spare               float64 // share of a server's places that must stay free beside it
 	tries               int
 	tried               []ServerID
@@ -790,6 +791,9 @@
 // answer ends a request that nothing can be done for: refused where that is allowed, else failed.
 func (c *Controller) answer(s *session) {
 	delete(c.sessions, s.id)
+	if s.erred != nil { // nobody will tell
+		c.doubts(s.erred, troubles[Failed])
+	}
 	k := s.class
 	if s.mayHaveRun && (k.Repeat == Once || k.Repeat == ByKey && k.KeyScope != ScopeAll) {
 		c.out = append(c.out, Action{Kind: ActFail, Session: s.id})
@@ -813,6 +817,9 @@
 		v.fails, v.until, v.doubt = 0, 0, false
 	}
 	if s := c.sessions[ev.Session]; s != nil && s.server != nil && !s.playing {
+		if s.erred != nil { // it plays here, so there it was not the request
+			c.doubts(s.erred, troubles[Failed])
+		}
 		s.playing, s.playedAt = true, c.now
 		s.server.pending--
 		if s.endGuess > 0 {
@@ -892,22 +899,30 @@
 }
 
 // blame books a failure on a server, unless it may be another's: a request that no server can use errs at
-// each, and connections break for reasons of their own. Servers were shut for both, and taken as cold.
+// each, and connections break for reasons of their own. Servers were shut for both, and taken as cold. An
+// error of a request that may be tried elsewhere is judged by how that ends.
 func (c *Controller) blame(s *session, v *server, o Outcome, why string, played bool) {
-	if s != nil && !played && (o == Failed || o == Reset) {
-		if o == Failed && s.erred != nil {
-			s.erred.doubt = false
-			return
-		}
-		if o == Failed {
-			s.erred = v
-		}
-		if !v.doubt {
-			v.doubt = true
-			return
-		}
+	switch {
+	case s == nil || played || o != Failed && o != Reset:
+		c.failed(v, why)
+	case o == Failed && s.errs > 0:
+		s.erred = nil // at another server too: the request's own
+	case o == Failed && s.class.Repeat == Repeatable:
+		s.erred = v
+	default:
+		c.doubts(v, why)
+	}
+	if s != nil && o == Failed {
+		s.errs++
+	}
+}
+
+// doubts books what is likely a server's fault; the second in a row shuts it.
+func (c *Controller) doubts(v *server, why string) {
+	if v.doubt {
+		c.failed(v, why)
 	}
-	c.failed(v, why)
+	v.doubt = true
 }
 
 // ---- while sessions play ----
--- a/controller_test.go
+++ b/controller_test.go
@@ -707,6 +707,39 @@
 	}
 }
 
+// Two bad requests that err at one server before either has erred at another shut nothing; two good ones that play
+// elsewhere shut it.
+func TestErrorsThatCrossShutNoServer(t *testing.T) {
+	for name, bad := range map[string]bool{"bad requests": true, "a bad server": false} {
+		b := start(t, testConfig())
+		b.tell(0.1)
+		one, acts := b.ask(0, 42)
+		v, _, _ := sent(acts)
+		two, acts := b.ask(0, 42)
+		if at, _, _ := sent(acts); at != v {
+			t.Fatalf("%s: sent to %d and %d", name, v, at)
+		}
+		next := map[SessionID][]Action{}
+		for _, id := range []SessionID{one, two} {
+			next[id] = b.settle(id, v, Failed)
+		}
+		for id, acts := range next {
+			to, _, ok := sent(acts)
+			if !ok || to == v {
+				t.Fatalf("%s: no second attempt elsewhere: %v", name, acts)
+			}
+			if bad {
+				b.settle(id, to, Failed)
+			} else {
+				b.play(id, to)
+			}
+		}
+		if s := b.c.servers[v]; (s.until > b.now) == bad {
+			t.Errorf("%s: shut until %v at %v", name, s.until, b.now)
+		}
+	}
+}
+
 // A set-up whose connection broke neither shuts its server nor makes it cold; two in a row shut it, and a session that
 // breaks while it plays means that the server was lost.
 func TestOneBrokenConnectionIsNoLostServer(t *testing.T) {
