Sessions of a vanished media node are given up within the protocol's 8 s, whatever settings say

At fault: node.New, which put no bound on it. It is bounded now; a media node that is only quiet proves itself by taking a connection. TestLossIsToldInTime goes over intervals from 0 to 60 s.

--- a/internal/platform/node/config_test.go
+++ b/internal/platform/node/config_test.go
@@ -116,3 +116,20 @@
 		t.Error("no class at all is taken")
 	}
 }
+
+// Sessions of a media node that has vanished are given up in time for their viewers to hear, under any settings.
+func TestLossIsToldInTime(t *testing.T) {
+	for _, tell := range []float64{0, 100, 1250, 4500, 60000} {
+		for _, connect := range []float64{20, 250, 5000} {
+			c, err := Parse([]byte(goodConfig))
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.Module.TellMs, c.Module.ToldLateMs, c.ConnectMs = tell, tell/2, connect
+			w := silence(c)
+			if w.LostMs+2*sweepMs > oweMs || w.LostMs <= w.SilentMs || w.SilentMs <= 0 {
+				t.Errorf("loads each %v ms, connections in %v: silent after %v, lost after %v", tell, connect, w.SilentMs, w.LostMs)
+			}
+		}
+	}
+}
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -143,15 +143,7 @@
 	}
 	m := &cfg.Module
 	n.list = fleet.New(fleet.Config{MaxBoxes: 4096, Cells: m.Cells, Kinds: len(cfg.Words.Kinds)})
-	// Loads come on one session of each media node once in TellMs, as late as ToldLateMs: silence for longer is a sign,
-	// with two connections' time over for the loop's own lateness. Where none are told, answers have to do, and a
-	// client's longest wait stands for the interval.
-	silent := m.TellMs + m.ToldLateMs + 2*cfg.ConnectMs
-	if m.TellMs == 0 {
-		silent = slices.Max(cfg.DeadlineMs)
-	}
-	n.watch = boxes.New(boxes.Config{SilentMs: silent, LostMs: silent + 3*cfg.ConnectMs, RetryMs: cfg.ConnectMs / 4,
-		MaxRetry: 2 * cfg.ConnectMs, IdleMs: cfg.KeepAliveMs / 3, OpenMs: cfg.ConnectMs + sweepMs/2})
+	n.watch = boxes.New(silence(cfg))
 	n.stop = retire.New(retire.Config{NoticeMs: noticeMs, FinishMs: math.Min(slices.Max(cfg.DeadlineMs), longestMs) + finishMs,
 		PlayMs: math.Inf(1), EndMs: oweMs})
 	n.door = door.New(door.Config{Most: cfg.Sockets / 2, SilentMs: silentMs, RestMs: restMs})
@@ -170,6 +162,21 @@
 	return n, nil
 }
 
+// silence says when a media node that is not heard is asked for a connection, and when its sessions are lost. Loads come
+// on one session of each media node once in TellMs, as late as ToldLateMs: silence for longer is a sign, with two
+// connections' time over for the loop's own lateness. Where none are told, answers have to do, and a client's longest wait
+// stands for the interval. Whatever the settings say, viewers hear of a lost session within the protocol's 8 s: a media
+// node that is only quiet proves itself by taking a connection.
+func silence(cfg *Config) boxes.Config {
+	quiet := cfg.Module.TellMs + cfg.Module.ToldLateMs + 2*cfg.ConnectMs
+	if cfg.Module.TellMs == 0 {
+		quiet = slices.Max(cfg.DeadlineMs)
+	}
+	quiet = math.Min(quiet, oweMs/2)
+	return boxes.Config{SilentMs: quiet, LostMs: quiet + math.Min(3*cfg.ConnectMs, oweMs/4), RetryMs: cfg.ConnectMs / 4,
+		MaxRetry: 2 * cfg.ConnectMs, IdleMs: cfg.KeepAliveMs / 3, OpenMs: cfg.ConnectMs + sweepMs/2}
+}
+
 // Start takes the list of the start, asks the name service and opens the door.
 func (n *Node) Start() error {
 	known, err := n.cfg.Known.Message(n.cfg.Words)
