A stop is not held up by a reload that still reads its file

Found on reading what crosses: since a configuration is tried for two seconds after SIGHUP, a SIGTERM in that time waited behind it, and was then late by as much. Signals and reloads have a goroutine each now; reloads that come meanwhile are one.

--- a/cmd/headmill/node.go
+++ b/cmd/headmill/node.go
@@ -57,12 +57,9 @@
 		return err
 	}
 	log.Info("serving", "director", cfg.Name, "addr", n.Addr())
+	reload := make(chan struct{}, 1) // a second SIGHUP while the file is read means: once more
 	go func() {
-		for s := range sigs {
-			if s != syscall.SIGHUP {
-				n.Stop()
-				continue
-			}
+		for range reload {
 			fresh, err := loadAgain(c.Config)
 			if err != nil {
 				log.Error("configuration not read again; the old one stays", "error", err.Error())
@@ -71,11 +68,26 @@
 			n.Reload(fresh)
 		}
 	}()
+	go follow(sigs, n.Stop, reload)
 	err = l.Run()
 	log.Info("stopped", "stats", fmt.Sprintf("%+v", n.Stats()))
 	return err
 }
 
+// follow carries signals out. A reload may take a while and must not hold up a stop.
+func follow(sigs <-chan os.Signal, stop func(), reload chan<- struct{}) {
+	for s := range sigs {
+		if s != syscall.SIGHUP {
+			stop()
+			continue
+		}
+		select {
+		case reload <- struct{}{}:
+		default: // one is waiting already, and will read the file as it is then
+		}
+	}
+}
+
 // loadAgain reads the configuration after SIGHUP. A file that is still being written, or no descriptor to read it with,
 // is over in a moment: it is tried for two seconds.
 func loadAgain(path string) (cfg *node.Config, err error) {
--- a/internal/platform/node/node_test.go
+++ b/internal/platform/node/node_test.go
@@ -480,8 +480,9 @@
 	}
 	s.release(causeClear)
 	s2.release(causeClear)
-	v.hear()
-	v.hear()
+	for range 2 {
+		v.say(`{"type":"released","id":"%s","fields":{}}`, v.hear().ID)
+	}
 	select {
 	case <-r.done:
 	case <-time.After(patience):
