A connection that its media node may be closing for idleness gets no set-up

Lead: an idle connection that either side closes while a set-up is being written. Nothing can prove that such a set-up never ran, so a paid one fails: what can be done is not to write it. A connection that was silent for the settings' keepalive_ms less connect_timeout_ms is not used for a set-up any more and is closed by the next look. TestIdleConnectionIsNotTrusted fails without it.

--- a/internal/platform/node/config.go
+++ b/internal/platform/node/config.go
@@ -110,7 +110,7 @@
 		key  string
 		to   *float64
 		none float64 // where the settings state none
-	}{{"allowed.connect_timeout_ms", &c.ConnectMs, slices.Min(c.DeadlineMs) / 4}, {"allowed.keepalive_ms", &c.KeepAliveMs, toldMs},
+	}{{"allowed.connect_timeout_ms", &c.ConnectMs, slices.Min(c.DeadlineMs) / 4}, {"allowed.keepalive_ms", &c.KeepAliveMs, 1.5 * restMs},
 		{"safety.drain_grace_ms", &c.DrainGraceMs, 0}} {
 		*f.to = f.none
 		if v, ok := kv[f.key]; ok {
--- a/internal/platform/node/cross_test.go
+++ b/internal/platform/node/cross_test.go
@@ -323,3 +323,15 @@
 		}
 	})
 }
+
+// A connection that its media node may be closing for idleness gets no set-up.
+func TestIdleConnectionIsNotTrusted(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	m, s := r.plays(v, id1)
+	r.on(func() { r.n.sessions[s.id].box.links[0].used -= r.n.cfg.KeepAliveMs - r.n.cfg.ConnectMs + 1 })
+	v.ask(id2, "free", "1;top:0")
+	if got := m.want(frame.Setup); got.id != 0xa2 || got.c == s.c {
+		t.Fatalf("%+v: a set-up crosses the close of its connection", got)
+	}
+}
--- a/internal/platform/node/media.go
+++ b/internal/platform/node/media.go
@@ -46,6 +46,7 @@
 	r       frame.Reader
 	tries   map[uint64]*try
 	partial float64 // since when a message waits for its rest
+	used    float64 // when bytes last went or came
 	ended   []ended // releases written lately, the oldest first
 	timer   *loop.Timer
 }
@@ -92,7 +93,7 @@
 	if len(b.links) >= perBox || b.n.links >= b.n.cfg.Sockets/3 {
 		return nil
 	}
-	k := &link{b: b, addr: b.addr, tries: map[uint64]*try{}}
+	k := &link{b: b, addr: b.addr, tries: map[uint64]*try{}, used: b.n.l.Now()}
 	c, err := b.n.l.Dial(b.addr, k)
 	if err != nil {
 		b.n.log.Error("media node can't be dialled", "host", b.name, "error", err.Error())
@@ -137,11 +138,15 @@
 // usable tells whether something new may be written there.
 func (k *link) usable() bool { return k.up && k.c.Open() && k.addr == k.b.addr }
 
+// stale tells whether the media node may be about to close the connection for its idleness: a set-up that crosses the
+// close is read by nobody, and nothing proves that.
+func (k *link) stale() bool { return k.b.n.l.Now()-k.used > k.b.n.cfg.KeepAliveMs-k.b.n.cfg.ConnectMs }
+
 // spare finds a connection for a set-up: one that carries none, so that an answer that can't be read takes no other
 // set-up with it.
 func (b *box) spare() *link {
 	for _, k := range b.links {
-		if k.usable() && len(k.tries) == 0 && !k.r.Partial() && k.c.Quiet() {
+		if k.usable() && len(k.tries) == 0 && !k.r.Partial() && !k.stale() && k.c.Quiet() {
 			return k
 		}
 	}
@@ -197,7 +202,12 @@
 func (k *link) release(id uint64) {
 	now := k.b.n.l.Now()
 	k.ended = append(slices.DeleteFunc(k.ended, func(e ended) bool { return now-e.at > lateMs }), ended{id, now})
-	k.c.Write(frame.AppendRelease(nil, id, causeClear))
+	k.write(frame.AppendRelease(nil, id, causeClear))
+}
+
+func (k *link) write(m []byte) {
+	k.used = k.b.n.l.Now()
+	k.c.Write(m)
 }
 
 // release ends a session at the media node, on any connection or on the next one that stands.
@@ -212,7 +222,7 @@
 // tell writes a message on a session, on any connection or on the next one that stands.
 func (b *box) tell(m []byte) {
 	if k := b.least(); k != nil {
-		k.c.Write(m)
+		k.write(m)
 		return
 	}
 	if len(b.queue) == 0 {
@@ -263,6 +273,7 @@
 func (k *link) Data(c *loop.Conn, data []byte) {
 	n := k.b.n
 	n.tellWatch(boxes.Event{Kind: boxes.Heard, Box: boxes.Box(k.b.id)})
+	k.used = n.l.Now()
 	was := k.r.Partial()
 	err := k.r.Feed(data, func(m *frame.Message) bool {
 		was = false // what waits for its rest after this is another message
@@ -371,6 +382,9 @@
 	for _, k := range slices.Clone(b.links) {
 		if k.r.Partial() && now-k.partial > partialMs {
 			k.spoilt(errors.New("message without its end"))
+		} else if k.up && len(k.tries) == 0 && k.stale() {
+			b.drop(k)
+			k.c.Close(loop.ErrIdle)
 		}
 	}
 	b.deliver()
@@ -466,7 +480,7 @@
 	t.n.out = out[:0]
 	s.sent = s.rung
 	t.base = c.Written() + int64(c.Pending())
-	c.Write(out)
+	t.k.write(out)
 	t.wrote = true
 	t.step(attempt.Event{Kind: attempt.Wrote, Bytes: c.Written() - t.base})
 }
