--- a/internal/platform/node/cross_test.go
+++ b/internal/platform/node/cross_test.go
@@ -335,3 +335,22 @@
 		t.Fatalf("%+v: a set-up crosses the close of its connection", got)
 	}
 }
+
+// A session of the start that is over since its media node has gone: the word crosses the close of its connection.
+func TestStartsSessionOverOnAClosingConnection(t *testing.T) {
+	r := startRig(t, 1, nil)
+	a, b := r.call(), r.call()
+	r.plays(b, id2)
+	r.connections(2)
+	r.on(func() {
+		a.playing(id1, "s-77")
+		a.c.Close()
+		for _, v := range r.n.viewers {
+			for late := time.Now().Add(patience); len(v.stands) == 0 && unread(v.c) == 0 && time.Now().Before(late); time.Sleep(time.Millisecond) {
+			}
+		}
+	})
+	if e := b.hear(); e.Type != "release" || e.ID != id1 || e.Cause != causeReset {
+		t.Fatalf("%+v", e)
+	}
+}
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -344,7 +344,7 @@
 	switch {
 	case r.at != "" && !n.list.Has(fleet.Named(r.at)): // where it played is not there any more, so it is over
 		n.log.Debug("session plays where no media node is listed", "host", r.at)
-		v.release(id, causeReset, 0)
+		n.owe(v, id, causeReset)
 		return
 	case !n.accounts.Room(limits.Sessions, 1), r.at == "" && !n.accounts.Take(limits.Waiting, held):
 		n.stats.Denied++
--- a/internal/platform/node/node_test.go
+++ b/internal/platform/node/node_test.go
@@ -454,7 +454,7 @@
 	r := startRig(t, 1, nil)
 	v := r.call()
 	v.playing(id2, "s-77") // turned away: it must not be counted as one that waits
-	v.hear()
+	v.say(`{"type":"released","id":"%s","fields":{}}`, v.hear().ID)
 	_, s := r.plays(v, id1)
 	r.n.Stop()
 	v.ask(id2, "paid", "1;top:0")
