An old list of the last start's count can't hold a director that started anew

Ruled out: a lost answer, a drain that crossed a connection (Ready was true at the write). At fault: feed.take and List.Take, which believed versions alone, though they start again with each start of a director. Change: with Renumbered a message that contradicts the list is believed once the next one contradicts it too; drains of any readable message count at once, and none is taken back for the same start of a media node (kept 5 min at most). TestVersionsThatStartAgain plays that order and others; it fails without the change.

--- a/decide/fleet/fleet.go
+++ b/decide/fleet/fleet.go
@@ -61,10 +61,29 @@
 	MaxBoxes int
 	Cells    int
 	Kinds    int // 0: any
+	// Renumbered: versions may start again without a sign, and old messages come up. A message that contradicts the list
+	// is then believed once the next one contradicts it too.
+	Renumbered bool
 }
 
+// oddMost is how many messages in a row may contradict the list before the last of them is believed: one is an old
+// message that came up again, a second says that the list itself is of another count.
+const oddMost = 2
+
+// start is one start of a box at one place. A drain of it is never taken back, whatever an older message says.
+type start struct {
+	id    headmill.ServerID
+	addr  string
+	since float64
+	boot  string
+}
+
+// drainedMs is for how long after it was last told a drain is remembered.
+const drainedMs = 300000.0
+
 type known struct {
 	Entry
+	told  Entry // as the message had it
 	id    headmill.ServerID
 	since float64 // start of the present boot on the director's clock; 0: long ago
 }
@@ -76,10 +95,14 @@
 	version uint64
 	some    bool
 	boxes   map[headmill.ServerID]*known
+	drained map[start]float64 // when last told
+	odd     int               // messages in a row that contradict the list
 }
 
 // New makes an empty list.
-func New(cfg Config) *List { return &List{cfg: cfg, boxes: map[headmill.ServerID]*known{}} }
+func New(cfg Config) *List {
+	return &List{cfg: cfg, boxes: map[headmill.ServerID]*known{}, drained: map[start]float64{}}
+}
 
 // Version is the last version taken.
 func (l *List) Version() uint64 { return l.version }
@@ -159,10 +182,12 @@
 // Named makes a box's number from its name: the same at every director, whatever addresses they reach it at.
 func Named(name string) headmill.ServerID { return headmill.ServerID(xxhash.Sum64String(name) >> 16) }
 
-// Take judges a message at now (ms). If it is taken, ev is what the module is to be told; the caller owns it.
+// Take judges a message at now (ms). ev is what the module is to be told, if it has servers or the message is taken; the
+// caller owns it. A stale message may still tell of drains.
 func (l *List) Take(now float64, m *Message) (ev headmill.Event, v Verdict, err error) {
 	if l.some && m.Epoch == l.epoch {
 		switch {
+		case l.cfg.Renumbered && m.Full: // judged by what it says
 		case m.Version < l.version, m.Version == l.version && !m.Full:
 			return ev, Stale, nil
 		case !m.Full && m.Version != l.version+1:
@@ -187,6 +212,16 @@
 	if n := len(fresh); n > l.cfg.MaxBoxes || !m.Full && len(l.boxes)+n > 2*l.cfg.MaxBoxes {
 		return ev, Bad, fmt.Errorf("fleet: version %d has %d boxes, over the cap of %d", m.Version, n, l.cfg.MaxBoxes)
 	}
+	l.remember(now, fresh)
+	if l.cfg.Renumbered && m.Full && l.some && m.Epoch == l.epoch && m.Version <= l.version {
+		if l.odd++; l.same(m.Version, fresh) {
+			l.odd = 0
+		}
+		if l.odd < oddMost {
+			return l.drains(), Stale, nil
+		}
+	}
+	l.odd = 0
 	l.epoch, l.version, l.some = m.Epoch, m.Version, true
 	ev = headmill.Event{Kind: headmill.EvServers, Delta: !m.Full}
 	if m.Full {
@@ -207,6 +242,53 @@
 	return ev, Taken, nil
 }
 
+// remember keeps the drains of a message, and lets those go that were not told for long.
+func (l *List) remember(now float64, fresh []*known) {
+	if !l.cfg.Renumbered {
+		return
+	}
+	for _, k := range fresh {
+		if at := k.start(); k.State == "draining" {
+			l.drained[at] = now
+		} else if _, ok := l.drained[at]; ok && k.State == "ready" {
+			k.State = "draining"
+		}
+	}
+	for at, told := range l.drained {
+		if now-told > drainedMs {
+			delete(l.drained, at)
+		}
+	}
+}
+
+func (k *known) start() start { return start{k.id, k.Addr, k.since, k.Boot} }
+
+// same tells whether a message says what the list says.
+func (l *List) same(version uint64, fresh []*known) bool {
+	if version != l.version || len(fresh) != len(l.boxes) {
+		return false
+	}
+	for _, k := range fresh {
+		if old := l.boxes[k.id]; old == nil || old.told != k.told {
+			return false
+		}
+	}
+	return true
+}
+
+// drains are the boxes of the list whose drain only a message told that was not taken.
+func (l *List) drains() headmill.Event {
+	ev := headmill.Event{Kind: headmill.EvServers, Delta: true}
+	for _, k := range l.boxes {
+		if _, ok := l.drained[k.start()]; ok && k.State == "ready" {
+			k.State = "draining"
+			ev.Servers = append(ev.Servers, k.server())
+		}
+	}
+	slices.SortFunc(ev.Servers, func(a, b headmill.Server) int { return cmp.Compare(a.ID, b.ID) })
+	return ev
+}
+
 // entry checks one box. Its start is kept while its boot is the same: told ages wander by the lateness of
 // messages, and a wandering start would look like a restart.
 func (l *List) entry(now float64, e *Entry) (*known, error) {
@@ -229,7 +311,7 @@
 	case !(e.UpMs >= 0) || !(e.Weight >= 0) || e.UpMs > 1e15:
 		return nil, fmt.Errorf("box %s: age %v ms, weight %v", e.Addr, e.UpMs, e.Weight)
 	}
-	k := &known{Entry: *e, id: id}
+	k := &known{Entry: *e, told: *e, id: id}
 	if e.UpMs > 0 {
 		k.since = max(now-e.UpMs, 0.001) // it started before this director's clock did: still not "long ago"
 	}
--- a/decide/fleet/fleet_test.go
+++ b/decide/fleet/fleet_test.go
@@ -147,3 +147,49 @@
 		t.Errorf("a start before all time is %s", v)
 	}
 }
+
+// A director that starts again has a new count of versions; an old message of its last count, higher than the new ones,
+// must not hold it: drains count at once, the rest with the second message that contradicts. One old message in between
+// changes nothing, and no message takes a drain back.
+func TestVersionsThatStartAgain(t *testing.T) {
+	a, drained, b := e("127.0.0.1:1", "ready", "x", 0), e("127.0.0.1:1", "draining", "x", 0), e("127.0.0.1:2", "ready", "y", 0)
+	msg := func(version uint64, l ...Entry) Message { return Message{Version: version, Full: true, Entries: l} }
+	const gone, one, two, off = "", "127.0.0.1:1/0/0", "127.0.0.1:1/0/0 127.0.0.1:2/0/0", "127.0.0.1:1/2/0"
+	for name, steps := range map[string][]struct {
+		m    Message
+		v    Verdict
+		want string
+		len  int
+	}{
+		"an old message first": {{msg(1, a, b), Taken, two, 2}, {msg(9, a), Taken, one, 1}, {msg(2, drained, b), Stale, off, 1},
+			{msg(2, drained, b), Taken, off + " 127.0.0.1:2/0/0", 2}, {msg(2, drained, b), Stale, gone, 2}, {msg(3, b), Taken, "127.0.0.1:2/0/0", 1}},
+		"one old message between": {{msg(5, a, b), Taken, two, 2}, {msg(4, a), Stale, gone, 2}, {msg(5, a, b), Stale, gone, 2},
+			{msg(4, a), Stale, gone, 2}, {msg(5, a, b), Stale, gone, 2}, {msg(6, a), Taken, one, 1}},
+		"a drain is not taken back": {{msg(5, drained, b), Taken, off + " 127.0.0.1:2/0/0", 2}, {msg(4, a, b), Stale, gone, 2},
+			{msg(4, a, b), Taken, off + " 127.0.0.1:2/0/0", 2}, {msg(6, a), Taken, off, 1},
+			{msg(7, e("127.0.0.1:1", "ready", "new", 0)), Taken, one, 1}},
+		"the same version says something else": {{msg(3, a), Taken, one, 1}, {msg(3, a, b), Stale, gone, 1}, {msg(3, a, b), Taken, two, 2}},
+	} {
+		l := New(Config{MaxBoxes: 3, Cells: 4, Kinds: 2, Renumbered: true})
+		for i, s := range steps {
+			ev, v, err := l.Take(100, &s.m)
+			if v != s.v || err != nil || show(ev) != s.want || l.Len() != s.len {
+				t.Errorf("%s, message %d: %s %v %q, %d boxes, want %s %q, %d", name, i, v, err, show(ev), l.Len(), s.v, s.want, s.len)
+			}
+		}
+	}
+}
+
+// What is remembered of drains follows the fleet and not its history.
+func TestDrainsAreForgotten(t *testing.T) {
+	l := New(Config{MaxBoxes: 3, Cells: 4, Kinds: 2, Renumbered: true})
+	for i := range 1000 {
+		m := Message{Version: uint64(i + 1), Full: true, Entries: []Entry{e("127.0.0.1:1", "draining", fmt.Sprint(i), 0)}}
+		if _, _, err := l.Take(float64(i)*drainedMs/10, &m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(l.drained) > 12 {
+		t.Fatalf("%d drains are remembered", len(l.drained))
+	}
+}
--- a/internal/platform/node/feed.go
+++ b/internal/platform/node/feed.go
@@ -54,7 +54,7 @@
 		return
 	}
 	m, err := names.Answer(b, f.n.cfg.Words)
-	if err == nil && m.Version > f.n.list.Version() { // else known, or older than what is known
+	if err == nil {
 		err = f.n.take(&m)
 	}
 	if err != nil {
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -142,7 +142,7 @@
 		return nil, err
 	}
 	m := &cfg.Module
-	n.list = fleet.New(fleet.Config{MaxBoxes: 4096, Cells: m.Cells, Kinds: len(cfg.Words.Kinds)})
+	n.list = fleet.New(fleet.Config{MaxBoxes: 4096, Cells: m.Cells, Kinds: len(cfg.Words.Kinds), Renumbered: true})
 	n.watch = boxes.New(silence(cfg))
 	n.stop = retire.New(retire.Config{NoticeMs: noticeMs, FinishMs: math.Min(slices.Max(cfg.DeadlineMs), longestMs) + finishMs,
 		PlayMs: math.Inf(1), EndMs: oweMs})
@@ -251,8 +251,10 @@
 // take judges a list and tells the module.
 func (n *Node) take(m *fleet.Message) error {
 	ev, verdict, err := n.list.Take(n.now(), m)
-	if verdict == fleet.Taken {
+	if verdict == fleet.Taken || len(ev.Servers) > 0 {
 		n.tell(ev)
+	}
+	if verdict == fleet.Taken {
 		for i := range m.Entries {
 			e := &m.Entries[i]
 			if b := n.boxes[fleet.Named(e.Name)]; b != nil && b.addr != e.Addr {
