A release is told again for a second after the first time, and not after an orderly close

Found on reading the whole change again, harmful in all directors together: a release written again carried the new time, so a media node that resets each connection could be told for ever, and connections closed by this side for idleness opened another one for what had arrived. The first time counts now; an idle close with nothing unsent tells nothing again. TestIdleCloseTellsNothingAgain.

--- a/internal/platform/node/cross_test.go
+++ b/internal/platform/node/cross_test.go
@@ -354,3 +354,21 @@
 		t.Fatalf("%+v", e)
 	}
 }
+
+// A connection that this side closes for idleness has delivered what was written there: nothing is told twice, and no
+// connection opened for it.
+func TestIdleCloseTellsNothingAgain(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	m, _ := r.plays(v, id1)
+	at := r.standing(id1).box
+	v.say(`{"type":"release","id":"%s","fields":{},"cause":16}`, id1)
+	m.want(frame.Release)
+	r.on(at.shut)
+	r.on(func() {}) // its end is told after the round
+	r.on(func() {
+		if len(at.links)+len(at.queue) != 0 {
+			t.Errorf("%d connections, %d messages kept", len(at.links), len(at.queue))
+		}
+	})
+}
--- a/internal/platform/node/media.go
+++ b/internal/platform/node/media.go
@@ -188,20 +188,25 @@
 	return l
 }
 
-// shut closes the connections that carry no set-up.
+// shut closes the connections that carry no set-up. What is unsent there is lost, so that is no idle end.
 func (b *box) shut() {
 	for _, k := range b.links {
-		if len(k.tries) == 0 {
+		switch {
+		case len(k.tries) > 0:
+		case k.c.Pending() > 0:
+			k.c.Close(loop.ErrSlowReader)
+		default:
 			k.c.Close(loop.ErrIdle)
 		}
 	}
 }
 
-// release ends a session or gives up a set-up here. Media nodes confirm nothing, so what was written shortly before the
-// connection's end may be lost with it and is written again.
-func (k *link) release(id uint64) {
+// release ends a session or gives up a set-up here; at is when that was first said. Media nodes confirm nothing, so what
+// was written shortly before the connection's end may be lost with it and is written again, within lateMs of the first
+// time: a media node that resets each connection must not be told for ever.
+func (k *link) release(id uint64, at float64) {
 	now := k.b.n.l.Now()
-	k.ended = append(slices.DeleteFunc(k.ended, func(e ended) bool { return now-e.at > lateMs }), ended{id, now})
+	k.ended = append(slices.DeleteFunc(k.ended, func(e ended) bool { return now-e.at > lateMs }), ended{id, at})
 	k.write(frame.AppendRelease(nil, id, causeClear))
 }
 
@@ -211,9 +216,9 @@
 }
 
 // release ends a session at the media node, on any connection or on the next one that stands.
-func (b *box) release(id uint64) {
+func (b *box) release(id uint64, at float64) {
 	if k := b.least(); k != nil {
-		k.release(id)
+		k.release(id, at)
 		return
 	}
 	b.tell(frame.AppendRelease(nil, id, causeClear))
@@ -299,7 +304,7 @@
 	k.b.drop(k)
 	k.c.Close(nil)
 	for id := range k.tries {
-		k.b.release(id)
+		k.b.release(id, n.l.Now())
 	}
 }
 
@@ -318,12 +323,12 @@
 		sent := t.a.State() == attempt.Sent
 		t.closed()
 		if sent && !loop.Refused(err) { // its answer may be lost with the connection, and what stands is nobody's
-			b.release(id)
+			b.release(id, b.n.l.Now())
 		}
 	}
 	for _, e := range k.ended {
-		if b.n.l.Now()-e.at <= lateMs && !loop.Refused(err) {
-			b.release(e.id)
+		if b.n.l.Now()-e.at <= lateMs && err != loop.ErrIdle { // closed by this side, with nothing unsent, it has arrived
+			b.release(e.id, e.at)
 		}
 	}
 	k.ended = nil
@@ -382,7 +387,7 @@
 	for _, k := range slices.Clone(b.links) {
 		if k.r.Partial() && now-k.partial > partialMs {
 			k.spoilt(errors.New("message without its end"))
-		} else if k.up && len(k.tries) == 0 && k.stale() {
+		} else if k.up && len(k.tries) == 0 && k.c.Pending() == 0 && k.stale() {
 			b.drop(k)
 			k.c.Close(loop.ErrIdle)
 		}
@@ -448,7 +453,7 @@
 			}
 		case attempt.Cut: // the connection stays: it carries other set-ups
 			if t.k != nil && t.wrote {
-				t.k.release(t.s.id)
+				t.k.release(t.s.id, t.n.l.Now())
 			}
 			t.off()
 		case attempt.Keep:
@@ -504,7 +509,7 @@
 	n.out = lines.AppendAnswer(n.out[:0], s.id, sdp)
 	if len(n.out) > lines.Max {
 		n.stats.Spoilt++
-		t.k.release(s.id)
+		t.k.release(s.id, n.l.Now())
 		t.broke()
 		return
 	}
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -444,7 +444,7 @@
 		}
 	case plays:
 		s.state = ending
-		s.box.release(s.id)
+		s.box.release(s.id, n.l.Now())
 		s.timer = n.l.After(endMs, func() {
 			s.timer = nil
 			n.ended(s, headmill.Cancelled, causeCancelled, headmill.Report{})
