A broken connection to a media node with sessions is followed by a new one, others or not

Ruled out: a release lost towards the viewer (none was due), a closed front. At fault, by reading: link.Closed opened a new connection only where none was left, but a media node tells an end that was lost with its connection on the next one opened (PROTOCOL), and with others standing none was. A break with sessions standing opens one now, and idle connections are left to the media node while sessions stand there. TestEndLostWithOneOfTwoConnections fails without it.

--- a/internal/platform/node/cross_test.go
+++ b/internal/platform/node/cross_test.go
@@ -372,3 +372,43 @@
 		}
 	})
 }
+
+// A session's end is lost with the connection that it was written on, while another stands: the media node tells it again
+// on the next one opened, so one has to be.
+func TestEndLostWithOneOfTwoConnections(t *testing.T) {
+	r := startRig(t, 1, nil)
+	v := r.call()
+	v.ask(id1, "free", "1;top:0")
+	_, a := r.setup()
+	v.ask(id2, "free", "1;top:0")
+	m, b := r.setup()
+	if a.c == b.c {
+		t.Fatal("two set-ups on one connection: this shows nothing")
+	}
+	a.answer("x")
+	v.hear()
+	b.answer("x")
+	v.hear()
+	a.c.(*net.TCPConn).SetLinger(0)
+	a.c.Close()
+	fresh := func() (c net.Conn) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if last := m.conns[len(m.conns)-1]; last != a.c && last != b.c {
+			c = last
+		}
+		return c
+	}
+	out, at := frame.Begin(nil, frame.Ping, 1)
+	out = frame.End(frame.Add(out, frame.Cause, []byte{0}), at)
+	for late := time.Now().Add(patience); fresh() == nil; time.Sleep(5 * time.Millisecond) {
+		b.c.Write(out) // the other connection is heard all the time: its silence opens none
+		if time.Now().After(late) {
+			t.Fatal("no other connection is opened")
+		}
+	}
+	fresh().Write(frame.AppendRelease(nil, a.id, causeClear))
+	if e := v.hear(); e.Type != "release" || e.ID != id1 {
+		t.Fatalf("%+v", e)
+	}
+}
--- a/internal/platform/node/media.go
+++ b/internal/platform/node/media.go
@@ -318,6 +318,10 @@
 	}
 	if len(b.links) == 0 {
 		b.n.tellWatch(boxes.Event{Kind: boxes.Broke, Box: boxes.Box(b.id), Refused: loop.Refused(err)})
+	} else if k.up && err != nil && len(b.standing) > 0 {
+		// A session's end that was written here is lost, and comes again on the next connection that is opened: with
+		// others open, none might be, and the session would stand for good.
+		b.dial()
 	}
 	for id, t := range k.tries {
 		sent := t.a.State() == attempt.Sent
@@ -387,7 +391,7 @@
 	for _, k := range slices.Clone(b.links) {
 		if k.r.Partial() && now-k.partial > partialMs {
 			k.spoilt(errors.New("message without its end"))
-		} else if k.up && len(k.tries) == 0 && k.c.Pending() == 0 && k.stale() {
+		} else if k.up && len(k.tries)+len(b.standing) == 0 && k.c.Pending() == 0 && k.stale() {
 			b.drop(k)
 			k.c.Close(loop.ErrIdle)
 		}
