--- a/internal/platform/node/media.go
+++ b/internal/platform/node/media.go
@@ -294,6 +294,8 @@
 	}
 }
 
+var errSpoilt = errors.New("node: a message that can't be read")
+
 // spoilt gives up a connection on which where the next message begins is not known. Its set-ups may have run, and what
 // was answered unreadably stands: the media node is told on another connection that nobody wants them, since this one
 // may be reset with what was written last.
@@ -302,7 +304,7 @@
 	n.stats.Spoilt++
 	n.log.Debug("media node's message can't be read", "host", k.b.name, "error", err.Error())
 	k.b.drop(k)
-	k.c.Close(nil)
+	k.c.Close(errSpoilt)
 	for id := range k.tries {
 		k.b.release(id, n.l.Now())
 	}
