--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -300,7 +300,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("loop: address %q: want IPv4:PORT: %w", addr, err)
 	}
-	if !ap.Addr().Is4() || !ap.Addr().IsLoopback() && !l.home.Contains(ap.Addr()) {
+	if !ap.Addr().Is4() || !ap.Addr().IsLoopback() && !(l.home.Contains(ap.Addr()) && ap.Addr().IsPrivate()) {
 		return nil, fmt.Errorf("loop: address %q is not on 127.0.0.0/8; headmill serves the loopback interface only", addr)
 	}
 	return &unix.SockaddrInet4{Port: int(ap.Port()), Addr: ap.Addr().As4()}, nil
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -51,7 +51,7 @@
 
 const (
 	heldPart  = 8       // of limits.memory_mb: what set-ups that wait may hold, and once more what sessions may
-	entrySize = 1 << 10 // bytes that a session in the table is reckoned at (measured: a few hundred)
+	entrySize = 1 << 10 // bytes that a session in the table is reckoned at
 	sweepMs   = 100.0   // between looks at what is late: a tenth of the second in which releases are due (PROTOCOL)
 	endMs     = 400.0   // for a media node's last word on a session that its viewer ended; none is owed (PROTOCOL)
 	oweMs     = 8000.0  // for which a release that no viewer has confirmed is kept (PROTOCOL, "The rules on sockets")
