Log stops, lag of the loop, and by id what becomes of set-ups and connections

Info: each phase of a stop with what waits, each set-up failed by it, an iteration over 100 ms. Debug: set-ups, attempts, answers and closes by id.

--- a/internal/platform/proxy/attempt.go
+++ b/internal/platform/proxy/attempt.go
@@ -181,6 +181,8 @@
 		return
 	}
 	p, s := a.proxy, a.session
+	p.log.Debug("attempt ended", "id", logID(s.id), "host", a.node.name, "outcome", o.String(),
+		"took", p.loop.Now()-a.startedAt)
 	p.loop.Cancel(a.deadlineTimer)
 	if s.attempt == a {
 		s.attempt = nil
--- a/internal/platform/proxy/medianode.go
+++ b/internal/platform/proxy/medianode.go
@@ -325,6 +325,8 @@
 	n := nc.node
 	n.proxy.loop.Cancel(nc.connectTimer)
 	n.removeConn(nc)
+	n.proxy.log.Debug("media node connection closed", "host", n.name, "error", err, "established", nc.established,
+		"attempts", len(nc.attempts))
 	if loop.IsConnRefused(err) { // no process runs there, so there is none to send messages to
 		n.queue = nil
 	}
--- a/internal/platform/proxy/proxy.go
+++ b/internal/platform/proxy/proxy.go
@@ -89,6 +89,8 @@
 	shutdownNoticeMs = 1500.0
 	// maxDrainDeadlineMs is the longest class deadline that a stop waits for (DAYS, "New configurations and restarts").
 	maxDrainDeadlineMs = 3000.0
+	// maxUsualLagMs is the longest iteration of the event loop that is not logged.
+	maxUsualLagMs = 100.0
 	// drainMarginMs is the time beyond that deadline in which pending set-ups are answered: SIGKILL comes 700 ms beyond
 	// it (DAYS, "New configurations and restarts").
 	drainMarginMs = 550.0
@@ -361,6 +363,7 @@
 	case health.OpenStream:
 		n.ensureConn()
 	case health.CloseStream:
+		p.log.Debug("media node is silent or unused", "host", n.name, "conns", len(n.conns), "sessions", len(n.sessions))
 		n.closeUnusedConns()
 	case health.SessionLost, health.EndOrphan:
 		// EndOrphan can only name one of this director's own sessions (see sessionIDs), one that the health monitor does
@@ -398,17 +401,31 @@
 func (p *Proxy) sweep() {
 	p.loop.After(sweepIntervalMs, p.sweep)
 	now := p.loop.Now()
+	if lag := p.loop.MaxLag(); lag > maxUsualLagMs {
+		p.log.Warn("event loop was late", "lag_ms", lag)
+	}
 	p.queueHealthEvent(health.Event{Kind: health.Tick})
 	p.stepConnManager(connmgr.Event{Kind: connmgr.Tick})
 	for _, n := range p.nodes {
 		n.sweep(now)
 	}
 	p.stepRetransmitter(release.Event{Kind: release.Tick})
-	for _, action := range p.shutdown.Step(now, shutdown.Status{StopRequested: p.stopRequested, SkipDrain: p.skipDrain,
+	p.stepShutdown()
+}
+
+// stepShutdown advances the stop and carries out its actions.
+func (p *Proxy) stepShutdown() {
+	before := p.shutdown.Phase()
+	status := shutdown.Status{StopRequested: p.stopRequested, SkipDrain: p.skipDrain,
 		PendingRequests: p.pendingSetups, PlayingSessions: len(p.sessions) - p.pendingSetups,
-		UnsentMessages: p.unsentMessages()}, nil) {
+		UnsentMessages: p.unsentMessages()}
+	for _, action := range p.shutdown.Step(p.loop.Now(), status, nil) {
 		p.applyShutdownAction(action)
 	}
+	if phase := p.shutdown.Phase(); phase != before {
+		p.log.Info("stopping", "phase", phase.String(), "waiting", status.PendingRequests,
+			"playing", status.PlayingSessions, "unsent", status.UnsentMessages)
+	}
 }
 
 // applyShutdownAction carries out a step of a stop.
@@ -436,6 +453,8 @@
 func (p *Proxy) failSetup(s *session) {
 	p.stats.Failed++
 	a := s.attempt
+	p.log.Info("set-up failed by the stop", "id", logID(s.id), "class", s.className,
+		"host", s.nodeName(), "ms_left", s.deadline-p.loop.Now())
 	p.queueEvent(headmill.Event{Kind: headmill.EvViewerLeft, Session: s.moduleID})
 	p.rejectSetup(s, causeError, 0)
 	if a != nil {
--- a/internal/platform/proxy/session.go
+++ b/internal/platform/proxy/session.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"log/slog"
+
 	"headmill"
 	"headmill/decide/attempt"
 	"headmill/decide/connmgr"
@@ -9,8 +11,17 @@
 	"headmill/decide/limits"
 	"headmill/decide/release"
 	"headmill/internal/loop"
+	"headmill/internal/platform/jsonline"
 )
 
+// logID is a session id of the protocol, formatted only for log lines that are written.
+type logID uint64
+
+// LogValue implements slog.LogValuer.
+func (id logID) LogValue() slog.Value {
+	return slog.StringValue(string(jsonline.AppendID(nil, uint64(id))))
+}
+
 // rungUnknown is the rung of an adopted session until its media node reports it.
 const rungUnknown = -1
 
@@ -46,9 +57,18 @@
 	if v := s.viewer; v != nil {
 		v.sendRelease(s.id, cause, waitMs)
 	}
+	p.log.Debug("set-up answered", "id", logID(s.id), "cause", cause, "wait", waitMs, "host", s.nodeName())
 	p.removeSession(s)
 }
 
+// nodeName is the name of the media node of the session's last attempt, empty before the first one.
+func (s *session) nodeName() string {
+	if s.node == nil {
+		return ""
+	}
+	return s.node.name
+}
+
 // removeSession takes a session out of the table and releases its quota.
 func (p *Proxy) removeSession(s *session) {
 	p.detachViewer(s)
@@ -115,6 +135,7 @@
 	v.pending[s] = struct{}{}
 	v.reportUse()
 	p.stats.Asked++
+	p.log.Debug("set-up read", "id", logID(id), "class", r.className, "conn", v.id, "left", r.timeLeftMs)
 	p.pendingSetups++
 	p.queueEvent(ev)
 }
@@ -134,6 +155,7 @@
 // sessionPlaying marks a session as playing and writes its answer, given as the finished line, to the viewer.
 func (p *Proxy) sessionPlaying(s *session, latencyMs float64, line []byte) {
 	p.stats.Played++
+	p.log.Debug("session plays", "id", logID(s.id), "host", s.node.name, "took", latencyMs)
 	p.releaseSetupQuota(s)
 	s.state = statePlaying
 	s.node.sessions[s.id] = s
@@ -156,7 +178,7 @@
 		return
 	}
 	delete(s.node.sessions, s.id)
-	p.log.Debug("session ended", "id", s.id, "host", s.node.name, "cause", cause, "state", s.state)
+	p.log.Debug("session ended", "id", logID(s.id), "host", s.node.name, "cause", cause, "state", s.state)
 	if s.state == statePlaying && cause != causeCancelled {
 		p.notifySessionEnd(s.viewer, s.id, cause)
 	}
--- a/internal/platform/proxy/viewer.go
+++ b/internal/platform/proxy/viewer.go
@@ -54,6 +54,7 @@
 	for _, action := range p.closeActions {
 		v := p.viewers[action.Conn]
 		delete(p.viewers, action.Conn)
+		p.log.Debug("closing viewer connection", "conn", action.Conn, "reason", action.Reason.String())
 		switch {
 		case action.Conn == ev.Conn: // just accepted: the loop closes it
 		case action.Reason == connmgr.LimitReached:
@@ -81,8 +82,10 @@
 
 // Closed implements loop.Handler. It gives up the pending set-ups. Sessions that play are bound to no connection and
 // play on, except those whose answer was not written completely.
-func (v *viewer) Closed(*loop.Conn, error) {
+func (v *viewer) Closed(_ *loop.Conn, err error) {
 	delete(v.proxy.viewers, v.id)
+	v.proxy.log.Debug("viewer connection closed", "conn", v.id, "error", err, "pending", len(v.pending),
+		"playing", len(v.playing))
 	v.proxy.stepConnManager(connmgr.Event{Kind: connmgr.Closed, Conn: v.id})
 	for s := range v.pending {
 		v.proxy.endedByViewer(s)
