--- /dev/null
+++ b/test/faults/codec_test.go
@@ -0,0 +1,100 @@
+package faults
+
+import (
+	"encoding/binary"
+	"errors"
+)
+
+// The binary messages of media nodes, written a second time here so that the tests share no code with the director.
+const (
+	typeSetup    = 1
+	typeAnswer   = 9
+	typeRelease  = 12
+	typeReleased = 16
+	typeNote     = 44
+	typePing     = 52
+	typePong     = 53
+
+	paramClass     = 1
+	paramWait      = 2
+	paramNoteKind  = 8
+	paramNoteValue = 13
+	paramCause     = 15
+	paramSDP       = 16
+)
+
+// Causes of releases.
+const (
+	causeNormal    = 16
+	causeCancelled = 31
+	causeFull      = 34
+	causeReset     = 41
+	causeCongested = 42
+	causeError     = 47
+	causeNeverRan  = 102
+)
+
+const maxFrameSize = 16 << 10
+
+// frame is one decoded message of the binary protocol.
+type frame struct {
+	typ     byte
+	session uint64
+	params  map[byte][]byte
+}
+
+func (f *frame) cause() int {
+	if value := f.params[paramCause]; len(value) == 1 {
+		return int(value[0])
+	}
+	return 0
+}
+
+// encodeFrame encodes a message; params are in the order given, and nil values are left out.
+func encodeFrame(typ byte, session uint64, params ...param) []byte {
+	out := []byte{0, 0, typ}
+	out = binary.BigEndian.AppendUint64(out, session)
+	for _, p := range params {
+		out = append(out, p.code)
+		out = binary.BigEndian.AppendUint16(out, uint16(len(p.value)))
+		out = append(out, p.value...)
+	}
+	binary.BigEndian.PutUint16(out, uint16(len(out)-2))
+	return out
+}
+
+// param is one parameter of a message.
+type param struct {
+	code  byte
+	value string
+}
+
+func encodeRelease(session uint64, cause byte) []byte {
+	return encodeFrame(typeRelease, session, param{paramCause, string([]byte{cause})})
+}
+
+var errBadFrame = errors.New("malformed message from a director")
+
+// decodeFrame takes the first message from b; it returns 0 bytes if b holds no whole message.
+func decodeFrame(b []byte) (f frame, size int, err error) {
+	if len(b) < 2 {
+		return f, 0, nil
+	}
+	size = 2 + int(binary.BigEndian.Uint16(b))
+	if size < 11 || size > maxFrameSize {
+		return f, 0, errBadFrame
+	}
+	if len(b) < size {
+		return f, 0, nil
+	}
+	f = frame{typ: b[2], session: binary.BigEndian.Uint64(b[3:]), params: map[byte][]byte{}}
+	for rest := b[11:size]; len(rest) > 0; {
+		if len(rest) < 3 || len(rest) < 3+int(binary.BigEndian.Uint16(rest[1:])) {
+			return f, 0, errBadFrame
+		}
+		length := int(binary.BigEndian.Uint16(rest[1:]))
+		f.params[rest[0]] = append([]byte(nil), rest[3:3+length]...)
+		rest = rest[3+length:]
+	}
+	return f, size, nil
+}
--- /dev/null
+++ b/test/faults/discovery_test.go
@@ -0,0 +1,213 @@
+package faults
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/net/dns/dnsmessage"
+)
+
+// listEntry is a media node as the discovery service lists it.
+type listEntry struct {
+	draining, gone bool
+	changedAt      time.Duration // of the last drain or removal; 0: ready since the start
+	version        uint32        // of that change
+	startedMs      int64         // Unix time of a late start, ms
+}
+
+// nodeList is the discovery service's list, which all its endpoints serve.
+type nodeList struct {
+	world   *world
+	mu      sync.Mutex
+	version uint32
+	entries map[string]*listEntry
+	history []listEvent
+}
+
+// listEvent is one drain, removal or return of a media node.
+type listEvent struct {
+	node    string
+	ready   bool
+	at      time.Duration
+	version uint32
+}
+
+func (l *nodeList) init(w *world) {
+	l.world, l.version, l.entries = w, 1, map[string]*listEntry{}
+	for _, n := range w.nodes {
+		l.entries[n.name] = &listEntry{}
+	}
+}
+
+// set changes the entry of a media node.
+func (l *nodeList) set(n *mediaNode, draining, gone bool) {
+	l.mu.Lock()
+	l.version++
+	e := l.entries[n.name]
+	if e.gone && !gone { // another process at the same address
+		e.startedMs = time.Now().UnixMilli()
+	}
+	e.draining, e.gone, e.changedAt, e.version = draining, gone, l.world.now(), l.version
+	l.history = append(l.history, listEvent{n.name, !draining && !gone, e.changedAt, l.version})
+	l.mu.Unlock()
+	l.world.note("list v%d: %s draining=%v gone=%v", l.version, n.name, draining, gone)
+}
+
+// snapshotJSON is the list in the form of a director's configuration.
+func (l *nodeList) snapshotJSON(director int) (string, uint32) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var hosts []string
+	for _, n := range l.world.nodes {
+		e := l.entries[n.name]
+		if e.gone {
+			continue
+		}
+		health := "in_service"
+		if e.draining {
+			health = "terminating"
+		}
+		hosts = append(hosts, fmt.Sprintf(`{"host":"%s","dial":"%s","site":"east","class":"std","block":%d,"health":"%s","share":1,"born_ms":%d}`,
+			n.name, n.faces[director].addr, n.cell, health, e.startedMs))
+	}
+	return fmt.Sprintf(`{"no":%d,"items":[{"no":%d,"roster":{"whole":true,"hosts":[%s]}}]}`, l.version, l.version,
+		strings.Join(hosts, ",")), l.version
+}
+
+// discoveryMode is what an endpoint does with queries.
+type discoveryMode uint8
+
+const (
+	discoveryUp discoveryMode = iota
+	discoverySilent
+	discoveryFails // answers with a server failure
+	discoveryCut   // answers cut short
+	discoveryOtherID
+)
+
+// discoveryEndpoint is the name service as one director reaches it: an address that answers, and may move.
+type discoveryEndpoint struct {
+	director *director
+	mu       sync.Mutex
+	conn     *net.UDPConn
+	mode     discoveryMode
+	upSince  time.Duration
+	told     map[uint32]time.Duration // when an answer with this version was first sent
+}
+
+func newDiscoveryEndpoint(d *director) *discoveryEndpoint {
+	e := &discoveryEndpoint{director: d, told: map[uint32]time.Duration{}}
+	e.move()
+	return e
+}
+
+// move opens a new address; the old one no longer answers.
+func (e *discoveryEndpoint) move() {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		e.director.world.t.Error(err)
+		return
+	}
+	e.mu.Lock()
+	if e.conn != nil {
+		e.conn.Close()
+	}
+	e.conn = conn
+	e.mu.Unlock()
+	go e.serve(conn)
+}
+
+func (e *discoveryEndpoint) close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.conn.Close()
+}
+
+func (e *discoveryEndpoint) addr() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.conn.LocalAddr().String()
+}
+
+func (e *discoveryEndpoint) setMode(mode discoveryMode) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.mode != discoveryUp && mode == discoveryUp {
+		e.upSince = e.director.world.now()
+	}
+	e.mode = mode
+}
+
+func (e *discoveryEndpoint) serve(conn *net.UDPConn) {
+	for buf := make([]byte, 1024); ; {
+		size, from, err := conn.ReadFromUDP(buf)
+		if err != nil {
+			return
+		}
+		var query dnsmessage.Message
+		if query.Unpack(buf[:size]) != nil {
+			continue
+		}
+		e.mu.Lock()
+		mode := e.mode
+		e.mu.Unlock()
+		if mode == discoverySilent {
+			continue
+		}
+		out, version := e.answer(query.ID, mode)
+		if mode == discoveryUp {
+			e.mu.Lock()
+			if _, ok := e.told[version]; !ok {
+				e.told[version] = e.director.world.now()
+			}
+			e.mu.Unlock()
+		}
+		conn.WriteToUDP(out, from)
+	}
+}
+
+// answer packs the list, or what an endpoint in trouble sends instead.
+func (e *discoveryEndpoint) answer(id uint16, mode discoveryMode) ([]byte, uint32) {
+	l := &e.director.world.list
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	name := dnsmessage.MustNewName
+	answer := dnsmessage.Message{Header: dnsmessage.Header{ID: id, Response: true}}
+	add := func(section *[]dnsmessage.Resource, owner string, body dnsmessage.ResourceBody) {
+		*section = append(*section, dnsmessage.Resource{
+			Header: dnsmessage.ResourceHeader{Name: name(owner), Class: dnsmessage.ClassINET}, Body: body})
+	}
+	for _, n := range l.world.nodes {
+		entry := l.entries[n.name]
+		if entry.gone {
+			continue
+		}
+		host, addr := n.name+".east.hosts.", n.faces[e.director.index].tcpAddr
+		srv := &dnsmessage.SRVResource{Weight: 10, Port: uint16(addr.Port), Target: name(host)}
+		if entry.draining {
+			srv.Priority = 1
+		}
+		add(&answer.Answers, "_api._tcp.svc.local.", srv)
+		add(&answer.Additionals, host, &dnsmessage.AResource{A: [4]byte{127, 0, 0, 1}})
+		add(&answer.Additionals, host, &dnsmessage.TXTResource{TXT: []string{"kind=std", fmt.Sprint("cell=", n.cell),
+			fmt.Sprint("started=", entry.startedMs)}})
+	}
+	add(&answer.Authorities, "svc.local.", &dnsmessage.SOAResource{NS: name("ns."), MBox: name("m."), Serial: l.version})
+	switch mode {
+	case discoveryFails:
+		answer = dnsmessage.Message{Header: dnsmessage.Header{ID: id, Response: true, RCode: dnsmessage.RCodeServerFailure}}
+	case discoveryOtherID:
+		answer.ID += 777
+	}
+	out, err := answer.Pack()
+	if err != nil {
+		e.director.world.t.Error(err)
+	}
+	if mode == discoveryCut {
+		out = out[:len(out)/2]
+	}
+	return out, l.version
+}
--- /dev/null
+++ b/test/faults/medianode_test.go
@@ -0,0 +1,458 @@
+package faults
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// nodeState is the condition of a stand-in media node.
+type nodeState uint8
+
+const (
+	nodeUp       nodeState = iota
+	nodeHung               // connections come up and are read, nothing is written
+	nodeVanished           // open connections are silent, new ones never come up
+	nodeDead               // connections are reset, new ones refused
+)
+
+// answerKind is what a media node does with one set-up.
+type answerKind uint8
+
+const (
+	answerGood answerKind = iota
+	answerFull
+	answerNeverRan
+	answerError
+	answerBroken       // release with cause 41
+	answerReset        // the connection is reset
+	answerNoise        // bytes that are no message
+	answerCutOff       // a part of an answer, then the end of the connection
+	answerEndless      // a length that never comes
+	answerLate         // after the director's time
+	answerNever        // no answer
+	answerTwice        // a second copy some ms later
+	answerUnknownFirst // an answer under an unknown id ahead of it
+	answerInPieces
+	answerKinds
+)
+
+// noteInterval is the time between load notes on a session.
+const noteInterval = 2500 * time.Millisecond
+
+// mediaNode is a stand-in media node. Each director reaches it at an address of its own, so that the node knows whose
+// connection is whose.
+type mediaNode struct {
+	world *world
+	name  string
+	cell  int
+	faces []*nodeFace // by director
+
+	mu       sync.Mutex
+	state    nodeState
+	spoilt   float64 // share of set-ups that get another answer than a good one
+	fixed    answerKind
+	useFixed bool // every set-up gets fixed
+	rng      *rand.Rand
+}
+
+// nodeFace is a media node as one director reaches it.
+type nodeFace struct {
+	node     *mediaNode
+	director int
+	listener *net.TCPListener
+	addr     string
+	tcpAddr  *net.TCPAddr
+	conns    map[*nodeConn]bool
+	fillers  []net.Conn
+	unsent   []*session // ended sessions whose release found no connection, or goes out again on the next one
+	paused   bool       // accepts nothing
+}
+
+// nodeConn is one connection from a director.
+type nodeConn struct {
+	face     *nodeFace
+	conn     net.Conn
+	attempts map[uint64]*attemptRecord
+}
+
+func newMediaNode(w *world, index int) *mediaNode {
+	n := &mediaNode{world: w, name: fmt.Sprintf("s-%08x", index+1), cell: index, rng: w.newRand()}
+	for d := range w.directors {
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		face := &nodeFace{node: n, director: d, listener: ln.(*net.TCPListener), addr: ln.Addr().String(),
+			tcpAddr: ln.Addr().(*net.TCPAddr), conns: map[*nodeConn]bool{}}
+		n.faces = append(n.faces, face)
+		go face.accept()
+	}
+	return n
+}
+
+func (f *nodeFace) accept() {
+	for {
+		conn, err := f.listener.Accept()
+		if err != nil {
+			f.node.mu.Lock()
+			paused := f.paused
+			f.node.mu.Unlock()
+			if !paused {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		nc := &nodeConn{face: f, conn: conn, attempts: map[uint64]*attemptRecord{}}
+		f.node.mu.Lock()
+		if f.node.state == nodeDead || f.node.state == nodeVanished {
+			resetConn(conn)
+			f.node.mu.Unlock()
+			continue
+		}
+		f.conns[nc] = true
+		f.sendUnsent(nc)
+		f.node.mu.Unlock()
+		go nc.read()
+	}
+}
+
+// sendUnsent writes the releases that wait for a connection.
+func (f *nodeFace) sendUnsent(nc *nodeConn) {
+	for _, s := range f.unsent {
+		nc.write(encodeRelease(s.id, byte(s.endCause)))
+		f.node.world.record(func() { s.releaseWritten(f.node.world.now()) })
+	}
+	f.unsent = nil
+}
+
+// resetConn closes a connection with a reset.
+func resetConn(conn net.Conn) {
+	conn.(*net.TCPConn).SetLinger(0)
+	conn.Close()
+}
+
+// write writes unless the node says nothing at the moment. The node's lock is held.
+func (nc *nodeConn) write(b []byte) {
+	if nc.face.node.state == nodeUp {
+		nc.conn.SetWriteDeadline(time.Now().Add(time.Second))
+		nc.conn.Write(b)
+	}
+}
+
+func (nc *nodeConn) read() {
+	n := nc.face.node
+	var pending []byte
+	buf := make([]byte, 8192)
+	var firstByteAt time.Duration
+	for {
+		size, err := nc.conn.Read(buf)
+		now := n.world.now()
+		n.mu.Lock()
+		if n.state == nodeVanished && err == nil { // its bytes go nowhere
+			n.mu.Unlock()
+			continue
+		}
+		if err != nil {
+			nc.closed(now)
+			n.mu.Unlock()
+			return
+		}
+		if len(pending) == 0 {
+			firstByteAt = now
+		}
+		pending = append(pending, buf[:size]...)
+		for {
+			f, used, err := decodeFrame(pending)
+			if err != nil {
+				n.world.violation("malformed message at media node %s: %x", n.name, pending[:min(len(pending), 40)])
+				resetConn(nc.conn)
+			}
+			if used == 0 {
+				break
+			}
+			nc.handle(&f, firstByteAt, now)
+			pending, firstByteAt = pending[used:], now
+		}
+		n.mu.Unlock()
+	}
+}
+
+// closed gives up the attempts of a connection that the director has closed. The node's lock is held.
+func (nc *nodeConn) closed(now time.Duration) {
+	nc.conn.Close()
+	delete(nc.face.conns, nc)
+	nc.face.node.world.record(func() {
+		for _, a := range nc.attempts {
+			a.end(now, endGivenUp)
+		}
+	})
+	clear(nc.attempts)
+}
+
+// handle takes one message from a director. The node's lock is held.
+func (nc *nodeConn) handle(f *frame, firstByteAt, now time.Duration) {
+	n := nc.face.node
+	switch f.typ {
+	case typeSetup:
+		a := &attemptRecord{id: f.session, class: string(f.params[paramClass]), node: n.name,
+			director: nc.face.director, firstByteAt: firstByteAt, arrivedAt: now}
+		fmt.Sscanf(string(f.params[paramWait]), "%d", &a.waitMs)
+		n.world.addAttempt(a)
+		nc.attempts[f.session] = a
+		nc.answerSetup(a)
+	case typeRelease:
+		if a := nc.attempts[f.session]; a != nil {
+			delete(nc.attempts, f.session)
+			n.world.record(func() { a.end(now, endGivenUp) })
+		} else if s := n.world.standing(f.session, n); s != nil {
+			n.world.record(func() { s.end(now, causeCancelled) })
+			nc.write(encodeRelease(f.session, causeCancelled))
+		}
+	case typePing:
+		nc.write(encodeFrame(typePong, f.session, param{paramCause, "\x01"}))
+	}
+}
+
+// answerSetup schedules what becomes of a set-up. The node's lock is held.
+func (nc *nodeConn) answerSetup(a *attemptRecord) {
+	n := nc.face.node
+	kind := answerGood
+	if n.useFixed {
+		kind = n.fixed
+	} else if n.rng.Float64() < n.spoilt {
+		kind = answerKind(1 + n.rng.IntN(int(answerKinds)-1))
+	}
+	delay := time.Duration(2+n.rng.IntN(25)) * time.Millisecond
+	if kind == answerLate {
+		delay = time.Duration(a.waitMs+20) * time.Millisecond
+	}
+	if kind == answerNever {
+		return
+	}
+	n.world.after(delay, func() { nc.finish(a, kind) })
+}
+
+// finish carries out the answer to a set-up that is still open.
+func (nc *nodeConn) finish(a *attemptRecord, kind answerKind) {
+	n := nc.face.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if nc.attempts[a.id] != a {
+		return
+	}
+	if n.state == nodeHung { // it goes on when the node does
+		n.world.after(50*time.Millisecond, func() { nc.finish(a, kind) })
+		return
+	}
+	if n.state != nodeUp {
+		return
+	}
+	delete(nc.attempts, a.id)
+	now := n.world.now()
+	ends := map[answerKind]attemptEnd{answerFull: endNeverRan, answerNeverRan: endNeverRan, answerError: endFailed,
+		answerBroken: endFailed}
+	causes := map[answerKind]byte{answerFull: causeFull, answerNeverRan: causeNeverRan, answerError: causeError,
+		answerBroken: causeReset}
+	if cause, ok := causes[kind]; ok {
+		n.world.record(func() { a.end(now, ends[kind]) })
+		nc.write(encodeRelease(a.id, cause))
+		return
+	}
+	sdp := n.world.newSDP(n.name, a.id)
+	answer := encodeFrame(typeAnswer, a.id, param{paramSDP, sdp})
+	switch kind {
+	case answerReset, answerNoise, answerCutOff, answerEndless:
+		n.world.record(func() { a.end(now, endFailed) })
+		nc.spoil(kind, answer)
+		return
+	}
+	n.world.record(func() { a.end(now, endPlays) })
+	nc.startSession(a, now)
+	switch kind {
+	case answerUnknownFirst:
+		nc.write(encodeFrame(typeAnswer, a.id^0xffff, param{paramSDP, "x"}))
+		nc.write(answer)
+	case answerInPieces:
+		nc.write(answer[:7])
+		n.world.after(40*time.Millisecond, func() { nc.writeLater(answer[7:]) })
+	case answerTwice:
+		nc.write(answer)
+		n.world.after(8*time.Millisecond, func() { nc.writeLater(answer) })
+	default:
+		nc.write(answer)
+	}
+}
+
+func (nc *nodeConn) writeLater(b []byte) {
+	nc.face.node.mu.Lock()
+	defer nc.face.node.mu.Unlock()
+	nc.write(b)
+}
+
+// spoil sends something other than a whole answer. The node's lock is held.
+func (nc *nodeConn) spoil(kind answerKind, answer []byte) {
+	switch kind {
+	case answerReset:
+		resetConn(nc.conn)
+	case answerNoise:
+		nc.write([]byte{0, 9, 99, 1, 2, 3, 4, 5, 6, 7, 8})
+	case answerCutOff:
+		nc.write(answer[:len(answer)/2])
+		nc.conn.Close()
+	case answerEndless:
+		nc.write([]byte{0xff, 0xff, typeAnswer})
+	}
+}
+
+// startSession makes the session of an answered set-up stand, and schedules its notes and its end. The node's lock is
+// held.
+func (nc *nodeConn) startSession(a *attemptRecord, now time.Duration) {
+	n := nc.face.node
+	s := n.world.addSession(a.id, n, nc.face.director, now)
+	n.world.after(time.Duration(500+n.rng.IntN(n.world.sessionMs))*time.Millisecond, func() { nc.face.endSession(s, nc) })
+	n.world.after(noteInterval, func() { nc.face.sendNote(s, nc) })
+}
+
+// sendNote sends the load notes of a session that still stands.
+func (f *nodeFace) sendNote(s *session, preferred *nodeConn) {
+	n := f.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.world.stillStands(s) {
+		return
+	}
+	if nc := f.anyConn(preferred); nc != nil {
+		for _, kind := range []string{"port", "spine"} {
+			nc.write(encodeFrame(typeNote, s.id, param{paramNoteKind, kind}, param{paramNoteValue, "0.3"}))
+		}
+	}
+	n.world.after(noteInterval, func() { f.sendNote(s, preferred) })
+}
+
+// anyConn is the preferred connection if it is open, else any open one.
+func (f *nodeFace) anyConn(preferred *nodeConn) *nodeConn {
+	if f.conns[preferred] {
+		return preferred
+	}
+	for nc := range f.conns {
+		return nc
+	}
+	return nil
+}
+
+// endSession ends a session in the ordinary way, if it still stands.
+func (f *nodeFace) endSession(s *session, preferred *nodeConn) {
+	n := f.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.state == nodeHung {
+		n.world.after(50*time.Millisecond, func() { f.endSession(s, preferred) })
+		return
+	}
+	if n.state != nodeUp || !n.world.stillStands(s) {
+		return
+	}
+	now := n.world.now()
+	n.world.record(func() { s.end(now, causeNormal) })
+	f.unsent = append(f.unsent, s) // goes out on the next new connection as well
+	if nc := f.anyConn(preferred); nc != nil {
+		nc.write(encodeRelease(s.id, causeNormal))
+		n.world.record(func() { s.releaseWritten(n.world.now()) })
+	}
+}
+
+// setState changes the condition of the node. Sessions are cut when it vanishes or dies, and connections are reset when
+// it dies or comes back from having vanished.
+func (n *mediaNode) setState(state nodeState) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.state == state {
+		return
+	}
+	before := n.state
+	n.state = state
+	n.world.note("media node %s: %s", n.name, [...]string{"up", "hangs", "vanishes", "dies"}[state])
+	if state == nodeVanished || state == nodeDead {
+		n.world.cutSessions(n)
+	}
+	for _, f := range n.faces {
+		if state == nodeDead || before == nodeVanished {
+			f.resetConns()
+		}
+		switch {
+		case state == nodeVanished:
+			f.blackhole()
+		case state == nodeDead:
+			f.listener.Close()
+		case before == nodeDead:
+			f.listen()
+		case before == nodeVanished:
+			f.resume()
+		}
+	}
+}
+
+func (f *nodeFace) resetConns() {
+	now := f.node.world.now()
+	for nc := range f.conns {
+		resetConn(nc.conn)
+		f.node.world.record(func() {
+			for _, a := range nc.attempts {
+				a.end(now, endFailed)
+			}
+		})
+		clear(nc.attempts)
+	}
+	clear(f.conns)
+	f.unsent = nil
+}
+
+// listen opens the listener again at its old address.
+func (f *nodeFace) listen() {
+	ln, err := net.Listen("tcp4", f.addr)
+	if err != nil {
+		f.node.world.t.Errorf("media node cannot listen again: %v", err)
+		return
+	}
+	f.listener, f.paused = ln.(*net.TCPListener), false
+	go f.accept()
+}
+
+// blackhole lets new connects hang: the listener accepts nothing and its queue is full.
+func (f *nodeFace) blackhole() {
+	f.paused = true
+	f.listener.SetDeadline(time.Now())
+	f.setBacklog(0)
+	for range 4 {
+		conn, err := net.DialTimeout("tcp4", f.addr, 20*time.Millisecond)
+		if err != nil {
+			return
+		}
+		f.fillers = append(f.fillers, conn)
+	}
+}
+
+// resume lets connects succeed again.
+func (f *nodeFace) resume() {
+	for _, conn := range f.fillers {
+		resetConn(conn)
+	}
+	f.fillers, f.paused = nil, false
+	f.setBacklog(128)
+	f.listener.SetDeadline(time.Time{})
+}
+
+// setBacklog changes the queue length of the listening socket.
+func (f *nodeFace) setBacklog(length int) {
+	raw, err := f.listener.SyscallConn()
+	if err != nil {
+		return
+	}
+	raw.Control(func(fd uintptr) { unix.Listen(int(fd), length) })
+}
--- /dev/null
+++ b/test/faults/rules_test.go
@@ -0,0 +1,231 @@
+package faults
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+)
+
+// The figures of the platform's pages. Every time limit is limitSlack longer.
+const (
+	limitSlack        = 50 * time.Millisecond
+	lateAnswerLimit   = 500 * time.Millisecond  // an answer up to so much after its time only earns nothing
+	unawareWindow     = 700 * time.Millisecond  // a request up to so long after SIGTERM may be found unanswered by SIGKILL
+	releaseLimit      = time.Second             // from the media node's or the director's release to the viewer's
+	releaseFromEnd    = 8 * time.Second         // from a session's end, where no release could be sent
+	adoptionDelay     = 200 * time.Millisecond  // what a director is handed counts so much later
+	drainGrace        = 250 * time.Millisecond  // for new set-ups after a drain was told
+	toldLimit         = 1500 * time.Millisecond // a change counts as told so long after it happened
+	toldAfterTrouble  = 6 * time.Second         // and so long after discovery had it and could be reached, after trouble
+	startAfterLeaving = 100 * time.Millisecond  // an attempt may begin so long after its client left
+	attemptOrderSlack = limitSlack              // two media nodes' records of one director's order
+)
+
+// check returns the broken rules of the run.
+func (w *world) check() []string {
+	end := w.now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	attempts := map[uint64][]*attemptRecord{}
+	for _, a := range w.attempts {
+		attempts[a.id] = append(attempts[a.id], a)
+		if w.requests[a.id] == nil {
+			w.violations = append(w.violations, fmt.Sprintf("set-up %016x at %s was sent by no viewer", a.id, a.node))
+		}
+		w.checkDrain(a)
+	}
+	for _, r := range w.order {
+		w.checkAnswer(r, end)
+		w.checkAttempts(r, attempts[r.id])
+	}
+	for _, s := range w.sessions {
+		w.checkRelease(s, end)
+	}
+	return w.violations
+}
+
+func (w *world) broken(format string, a ...any) {
+	w.violations = append(w.violations, fmt.Sprintf(format, a...))
+}
+
+// checkAnswer checks that a request got its one answer in time.
+func (w *world) checkAnswer(r *request, end time.Duration) {
+	if r.sentAt == 0 {
+		return
+	}
+	due := r.sentAt + r.wait + lateAnswerLimit + limitSlack
+	switch {
+	case r.extraAnswers > 0:
+		w.broken("second answer: %v", r)
+	case r.answer == answerPlays && w.sdps[r.sdp] != r.id:
+		w.broken("served with what no media node made for it: %v: %q", r, r.sdp)
+	case r.answer != noAnswer:
+		if r.answeredAt > due {
+			w.broken("answered at %.3f, too late: %v", r.answeredAt.Seconds(), r)
+		}
+	case r.leftAt > 0 || r.newConnFailed: // no answer is owed
+	case r.connEndedAt > 0 && w.endedByKill(r): // counted there
+	case r.connEndedAt > 0:
+		w.broken("connection ended at %.3f with no answer: %v%s", r.connEndedAt.Seconds(), r, r.life.describe())
+	case end > due:
+		w.broken("no answer: %v", r)
+	}
+}
+
+// endedByKill tells whether a request's connection ended with a process that was killed when nothing was owed to it.
+func (w *world) endedByKill(r *request) bool {
+	life := r.life
+	life.lock(r.director)
+	defer r.director.mu.Unlock()
+	if life.killedAt == 0 || r.connEndedAt < life.killedAt-limitSlack {
+		return false
+	}
+	if life.termAt == 0 { // killed outright
+		return true
+	}
+	return r.sentAt <= life.termAt+unawareWindow || r.sentAt > life.killedAt-limitSlack
+}
+
+func (l *lifetime) lock(d *director) { d.mu.Lock() }
+
+func (l *lifetime) describe() string {
+	return fmt.Sprintf(" (SIGTERM %.3f, SIGKILL %.3f, exit %.3f)", l.termAt.Seconds(), l.killedAt.Seconds(),
+		l.exitedAt.Seconds())
+}
+
+// checkAttempts checks the attempts of a request, which are in the order of their arrival.
+func (w *world) checkAttempts(r *request, attempts []*attemptRecord) {
+	for i, a := range attempts {
+		if r.leftAt > 0 && a.firstByteAt > r.leftAt+startAfterLeaving+limitSlack {
+			w.broken("attempt at %s at %.3f after its viewer left at %.3f: %v", a.node, a.firstByteAt.Seconds(),
+				r.leftAt.Seconds(), r)
+		}
+		if i == 0 {
+			continue
+		}
+		before := attempts[i-1]
+		if before.ended == endOpen || a.arrivedAt < before.endedAt-attemptOrderSlack {
+			w.broken("two attempts out: at %s from %.3f to %.3f, at %s from %.3f: %v", before.node,
+				before.arrivedAt.Seconds(), before.endedAt.Seconds(), a.node, a.arrivedAt.Seconds(), r)
+		}
+		if classes[r.class] == "paid" && before.ended != endNeverRan {
+			w.broken("paid set-up sent again after an attempt at %s that may have run (end %d): %v", before.node,
+				before.ended, r)
+		}
+	}
+	if last := len(attempts) - 1; classes[r.class] == "paid" && r.answer == answerRefused && last >= 0 &&
+		attempts[last].ended != endNeverRan {
+		w.broken("paid set-up refused (cause %d) after an attempt at %s that may have run: %v", r.cause,
+			attempts[last].node, r)
+	}
+}
+
+// checkRelease checks that the viewer of a session that is over was told in time.
+func (w *world) checkRelease(s *session, end time.Duration) {
+	r := w.requests[s.id]
+	if r == nil || s.endedAt == 0 || r.answer != answerPlays || r.leftAt > 0 {
+		return
+	}
+	due := s.endedAt + releaseFromEnd + limitSlack
+	if s.writtenAt > 0 {
+		due = s.writtenAt + releaseLimit + limitSlack
+	}
+	if s.endCause == causeCancelled { // ended by its director
+		due = s.endedAt + releaseLimit + limitSlack
+	}
+	due = max(due, r.answeredAt+limitSlack)
+	if r.releasedAt > 0 && r.releasedAt <= due {
+		return
+	}
+	r.director.mu.Lock()
+	gone := max(r.life.exitedAt, r.life.killedAt)
+	r.director.mu.Unlock()
+	if gone > 0 && gone < due || end < due {
+		return
+	}
+	w.broken("session ended at %s at %.3f (cause %d, release written %.3f), released %.3f, due %.3f: %v", s.node.name,
+		s.endedAt.Seconds(), s.endCause, s.writtenAt.Seconds(), r.releasedAt.Seconds(), due.Seconds(), r)
+}
+
+// checkDrain checks that an attempt's media node was not told to be draining or gone.
+func (w *world) checkDrain(a *attemptRecord) {
+	r := w.requests[a.id]
+	if r == nil {
+		return
+	}
+	var last listEvent
+	w.list.mu.Lock()
+	for _, ev := range w.list.history {
+		if ev.node == a.node && ev.at < a.firstByteAt {
+			last = ev
+		}
+	}
+	w.list.mu.Unlock()
+	if last.version == 0 || last.ready {
+		return
+	}
+	told := r.director.toldAt(last, r.life)
+	if a.firstByteAt > told+drainGrace+limitSlack {
+		w.broken("set-up %016x from n%d to %s at %.3f: its drain of %.3f (v%d) was told at %.3f", a.id, a.director, a.node,
+			a.firstByteAt.Seconds(), last.at.Seconds(), last.version, told.Seconds())
+	}
+}
+
+// toldAt is when a change counts as told to a process.
+func (d *director) toldAt(ev listEvent, life *lifetime) time.Duration {
+	if life.listVersion >= ev.version {
+		return life.startedAt
+	}
+	e := d.discovery
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	told := max(ev.at, e.upSince, life.startedAt) + toldAfterTrouble
+	if e.troubleFree(ev.at) {
+		told = ev.at + toldLimit
+	}
+	for version, at := range e.told {
+		if version >= ev.version && at >= life.startedAt {
+			told = min(told, at)
+		}
+	}
+	return told
+}
+
+// troubleFree tells whether the endpoint answered all queries around a moment. The endpoint's lock is held.
+func (e *discoveryEndpoint) troubleFree(at time.Duration) bool {
+	return e.mode == discoveryUp && e.upSince == 0
+}
+
+// report fails the test with the broken rules, the faults of the run and the ends of the directors' logs.
+func (w *world) report(what string) {
+	w.t.Helper()
+	broken := w.check()
+	counts := map[viewerAnswer]int{}
+	lost := 0
+	w.record(func() {
+		for _, r := range w.order {
+			if r.sentAt == 0 {
+				continue
+			}
+			counts[r.answer]++
+			if r.answer == noAnswer && r.leftAt == 0 {
+				lost++
+			}
+		}
+	})
+	w.t.Logf("%s: %d played, %d refused, %d failed, %d without an answer (%d left before); %d attempts, %d rules broken",
+		what, counts[answerPlays], counts[answerRefused], counts[answerFailed], counts[noAnswer],
+		counts[noAnswer]-lost, len(w.attempts), len(broken))
+	if len(broken) == 0 {
+		return
+	}
+	w.t.Errorf("%s: %d rules broken:\n%s\nfaults:\n%s", what, len(broken),
+		strings.Join(broken[:min(len(broken), 12)], "\n"), strings.Join(w.notes, "\n"))
+	if dir := os.Getenv("FAULT_LOGS"); dir != "" {
+		for _, d := range w.directors {
+			text, _ := os.ReadFile(d.logPath)
+			os.WriteFile(fmt.Sprintf("%s/%s-n%d.log", dir, strings.ReplaceAll(what, " ", "-"), d.index), text, 0o644)
+		}
+	}
+}
--- /dev/null
+++ b/test/faults/world_test.go
@@ -0,0 +1,228 @@
+// Package faults plays faults against director processes over loopback: signals, media nodes that hang, vanish or answer
+// wrongly, discovery that falls silent, and clients that break off. Every request, attempt and session is recorded, and
+// rules_test.go checks the records.
+package faults
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+)
+
+// attemptEnd is how an attempt at a media node ended.
+type attemptEnd uint8
+
+const (
+	endOpen     attemptEnd = iota
+	endPlays               // answered: the session stands
+	endNeverRan            // refused: nothing ran
+	endFailed              // it may have run
+	endGivenUp             // by the director, or its connection ended
+)
+
+// attemptRecord is one set-up that came to a media node.
+type attemptRecord struct {
+	id          uint64
+	class, node string
+	director    int
+	waitMs      int
+	firstByteAt time.Duration
+	arrivedAt   time.Duration
+	endedAt     time.Duration
+	ended       attemptEnd
+}
+
+func (a *attemptRecord) end(now time.Duration, how attemptEnd) {
+	if a.ended == endOpen {
+		a.ended, a.endedAt = how, now
+	}
+}
+
+// session is one session at a media node.
+type session struct {
+	id              uint64
+	node            *mediaNode
+	director        int // that answers for it
+	startedAt       time.Duration
+	endedAt         time.Duration // 0 while it stands
+	endCause        int
+	writtenAt       time.Duration // when the node first wrote its release; 0 if never
+	adoptedAt       time.Duration // when its viewer named it to a restarted director
+	lastConnClosing bool
+}
+
+func (s *session) end(now time.Duration, cause int) {
+	if s.endedAt == 0 {
+		s.endedAt, s.endCause = now, cause
+	}
+}
+
+func (s *session) releaseWritten(now time.Duration) {
+	if s.writtenAt == 0 {
+		s.writtenAt = now
+	}
+}
+
+// world is one run: directors, media nodes, discovery and clients, with all that was recorded.
+type world struct {
+	t         *testing.T
+	start     time.Time
+	settings  settings
+	sessionMs int // sessions last 500 ms and up to so much more
+	directors []*director
+	nodes     []*mediaNode
+
+	mu         sync.Mutex
+	seeds      *rand.Rand
+	requests   map[uint64]*request
+	order      []*request
+	attempts   []*attemptRecord
+	sessions   map[uint64]*session
+	sdps       map[string]uint64 // every description that a media node made, with its session
+	violations []string
+	notes      []string
+	list       nodeList
+	stopped    bool
+	timers     map[*time.Timer]bool
+	running    sync.WaitGroup // calls of timers
+	clients    sync.WaitGroup
+}
+
+// newWorld makes a run with media nodes and director processes that are not started yet.
+func newWorld(t *testing.T, seed uint64, directors, nodes int, s settings) *world {
+	w := &world{t: t, start: time.Now(), settings: s, seeds: rand.New(rand.NewPCG(seed, 35)), sessionMs: 5000,
+		requests: map[uint64]*request{}, sessions: map[uint64]*session{}, sdps: map[string]uint64{},
+		timers: map[*time.Timer]bool{}}
+	for i := range directors {
+		w.directors = append(w.directors, newDirector(w, i))
+	}
+	for i := range nodes {
+		w.nodes = append(w.nodes, newMediaNode(w, i))
+	}
+	w.list.init(w)
+	t.Cleanup(w.close)
+	return w
+}
+
+// close ends clients, directors and media nodes.
+func (w *world) close() {
+	w.mu.Lock()
+	w.stopped = true
+	w.mu.Unlock()
+	for _, d := range w.directors {
+		d.kill()
+		d.discovery.close()
+	}
+	w.clients.Wait()
+	for _, n := range w.nodes {
+		n.setState(nodeDead)
+	}
+	w.record(func() {
+		for timer := range w.timers {
+			if timer.Stop() {
+				w.running.Done()
+			}
+		}
+	})
+	w.running.Wait()
+}
+
+func (w *world) now() time.Duration { return time.Since(w.start) }
+
+// newRand returns a random source that the run's seed determines.
+func (w *world) newRand() *rand.Rand {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return rand.New(rand.NewPCG(w.seeds.Uint64(), w.seeds.Uint64()))
+}
+
+// after calls f later, unless the run has ended by then.
+func (w *world) after(delay time.Duration, f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
+	w.running.Add(1)
+	var timer *time.Timer
+	timer = time.AfterFunc(delay, func() {
+		defer w.running.Done()
+		w.record(func() { delete(w.timers, timer) })
+		if !w.hasStopped() {
+			f()
+		}
+	})
+	w.timers[timer] = true
+}
+
+func (w *world) hasStopped() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.stopped
+}
+
+// record runs f under the lock of the records.
+func (w *world) record(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f()
+}
+
+// note adds a line to the run's log of faults, which is printed if a rule is broken.
+func (w *world) note(format string, a ...any) {
+	line := fmt.Sprintf("%7.3f ", w.now().Seconds()) + fmt.Sprintf(format, a...)
+	w.record(func() { w.notes = append(w.notes, line) })
+}
+
+// violation records a broken rule.
+func (w *world) violation(format string, a ...any) {
+	line := fmt.Sprintf(format, a...)
+	w.record(func() { w.violations = append(w.violations, line) })
+}
+
+func (w *world) addAttempt(a *attemptRecord) {
+	w.record(func() { w.attempts = append(w.attempts, a) })
+}
+
+// newSDP makes a description that no other session has.
+func (w *world) newSDP(node string, id uint64) string {
+	sdp := fmt.Sprintf("v=0\r\no=%s %016x \"é\"\r\n", node, id)
+	w.record(func() { w.sdps[sdp] = id })
+	return sdp
+}
+
+func (w *world) addSession(id uint64, n *mediaNode, director int, now time.Duration) *session {
+	s := &session{id: id, node: n, director: director, startedAt: now}
+	w.record(func() { w.sessions[id] = s })
+	return s
+}
+
+// standing returns the session of an id that stands at a media node, else nil.
+func (w *world) standing(id uint64, n *mediaNode) *session {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if s := w.sessions[id]; s != nil && s.node == n && s.endedAt == 0 {
+		return s
+	}
+	return nil
+}
+
+func (w *world) stillStands(s *session) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return s.endedAt == 0
+}
+
+// cutSessions ends all sessions of a media node that vanishes or dies.
+func (w *world) cutSessions(n *mediaNode) {
+	now := w.now()
+	w.record(func() {
+		for _, s := range w.sessions {
+			if s.node == n {
+				s.end(now, causeReset)
+			}
+		}
+	})
+}
