Answer or refuse every set-up of a stop before the earliest kill, in every phase

Cause: FailPending was an action of one change of phase; a set-up read afterwards, on a connection that stays open while sessions play, got its viewer's whole time though SIGKILL may come earlier. Class of fault: a one-time action at a change of state, with arrivals after it.

decide/shutdown now says for each request whether it may still start a set-up (Accepts) and with how much time (TimeLeft), and gives FailPending in every phase whenever a request waits past the moment for answers. The platform's times follow from the earliest kill.

TestShutdown is unchanged but for a field's new name.

--- a/cmd/headmill/proxy.go
+++ b/cmd/headmill/proxy.go
@@ -25,7 +25,7 @@
 
 // Run serves on the platform until a signal has requested a stop and all sessions have ended.
 func (c *proxyCmd) Run() error {
-	signals := make(chan os.Signal, 4) // before all else, since a signal without a handler ends the process
+	signals := make(chan os.Signal, 16) // before all else, since a signal without a handler ends the process
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	cfg, err := proxy.Load(c.Config)
 	if err != nil {
@@ -55,7 +55,7 @@
 	if err != nil {
 		return err
 	}
-	director.Done = eventLoop.Stop
+	director.Done = eventLoop.StopGracefully
 	if err := director.Start(); err != nil {
 		return err
 	}
--- a/cmd/headmill/serve.go
+++ b/cmd/headmill/serve.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return err
 	}
-	d.ListenFD, d.Done = c.ListenFD, eventLoop.Stop
+	d.ListenFD, d.Done = c.ListenFD, eventLoop.StopGracefully
 	if settings := cfg.History; settings.Dir != "" {
 		d.History, err = history.Open(history.Config{Dir: settings.Dir, Director: cfg.Director.Name,
 			SegmentMs: settings.SegmentS * 1000, MaxBytes: settings.MaxBytes, MaxAgeMs: settings.MaxAgeS * 1000}, log)
--- a/decide/shutdown/shutdown.go
+++ b/decide/shutdown/shutdown.go
@@ -4,11 +4,10 @@
 // Phases, what ends each one, and the actions on leaving it:
 //
 //	Serving           everything is accepted.
-//	                  Ends when a stop is requested: RefuseNewSessions.
-//	DrainingSetups    no new sessions; set-ups in progress finish and are answered.
-//	                  Ends once no request waits and NoticeMs have passed, or after SetupDrainMs:
-//	                  CloseListeners, and FailPending if requests still wait.
-//	DrainingSessions  all requests are answered; sessions play on for a limited time.
+//	                  Ends when a stop is requested: RefuseNewSessions, unless AcceptMs is positive.
+//	DrainingSetups    new sessions until AcceptMs, with less time than usual; set-ups finish and are answered.
+//	                  Ends once no request waits and NoticeMs have passed, or after AnswerMs: CloseListeners.
+//	DrainingSessions  no new sessions; sessions play on for a limited time.
 //	                  Ends once no session plays, when SkipDrain is set, or after SessionDrainMs:
 //	                  EndSessions if sessions still play.
 //	EndingSessions    the remaining sessions are being ended at their media nodes.
@@ -16,15 +15,21 @@
 //	                  CloseAllConnections.
 //	Stopped           the connections are closed, the process exits.
 //
+// In every phase, FailPending follows for requests that still wait AnswerMs after the stop was requested: the process may
+// be killed soon after that. Connections stay open while sessions play and requests go on arriving on them, so no answer
+// may depend on a change of phase alone.
+//
 // Every phase after Serving has a time limit, so that a shutdown always ends. Where
 // SessionDrainMs is infinite, only SkipDrain or the end of all sessions ends DrainingSessions.
 package shutdown
 
-// Config has the times of the phases, in ms. SetupDrainMs must be at least the longest time after which a viewer of a
-// class gives up, or answers are cut off.
+import "math"
+
+// Config has the times of the phases, in ms. The first three count from the request of the stop.
 type Config struct {
-	NoticeMs       float64 // between refusing new sessions and closing the listeners, so that load balancers notice
-	SetupDrainMs   float64 // for set-ups in progress
+	AcceptMs       float64 // new sessions are accepted for so long; at most NoticeMs
+	NoticeMs       float64 // the listeners are open for at least so long, so that load balancers notice
+	AnswerMs       float64 // all requests are answered by then; more than AcceptMs
 	SessionDrainMs float64 // for sessions that play; infinite if they play on until SkipDrain is set
 	EndConfirmMs   float64 // for media nodes to confirm ended sessions, and for answers to be written
 }
@@ -73,6 +78,8 @@
 	cfg            Config
 	phase          Phase
 	phaseStartedAt float64 // ms
+	requestedAt    float64 // ms; of the stop
+	refusing       bool    // RefuseNewSessions has been given
 }
 
 // New returns the state of a director that is serving.
@@ -81,23 +88,46 @@
 // Phase returns the current phase.
 func (s *Shutdown) Phase() Phase { return s.phase }
 
+// Accepts tells whether a request that is read at now may start a set-up. One that may not is to be refused at once.
+func (s *Shutdown) Accepts(now float64) bool {
+	return s.phase == PhaseServing || s.phase == PhaseDrainingSetups && now-s.requestedAt < s.cfg.AcceptMs
+}
+
+// TimeLeft returns the time that a request read at now may take, if its viewer waits for waitMs: after it the request is
+// failed, as the process may be killed.
+func (s *Shutdown) TimeLeft(now, waitMs float64) float64 {
+	if s.phase == PhaseServing {
+		return waitMs
+	}
+	return math.Max(math.Min(waitMs, s.requestedAt+s.cfg.AnswerMs-now), 0)
+}
+
 func (s *Shutdown) enter(now float64, p Phase) { s.phase, s.phaseStartedAt = p, now }
 
 // Step evaluates the status at time now and appends the resulting actions to out. It may pass through several phases
 // at once.
 func (s *Shutdown) Step(now float64, status Status, out []Action) []Action {
-	if s.phase == PhaseServing && status.StopRequested {
+	if s.phase == PhaseServing {
+		if !status.StopRequested {
+			return out
+		}
+		s.requestedAt = now
 		s.enter(now, PhaseDrainingSetups)
+	}
+	if !s.refusing && !s.Accepts(now) {
+		s.refusing = true
 		out = append(out, RefuseNewSessions)
 	}
-	if s.phase == PhaseDrainingSetups && (status.PendingRequests == 0 && now-s.phaseStartedAt >= s.cfg.NoticeMs ||
-		now-s.phaseStartedAt >= s.cfg.SetupDrainMs) {
+	answersDue := now-s.requestedAt >= s.cfg.AnswerMs
+	if s.phase == PhaseDrainingSetups &&
+		(status.PendingRequests == 0 && now-s.requestedAt >= s.cfg.NoticeMs || answersDue) {
 		out = append(out, CloseListeners)
-		if status.PendingRequests > 0 { // every request gets an answer, also from a director that shuts down
-			out = append(out, FailPending)
-		}
 		s.enter(now, PhaseDrainingSessions)
 	}
+	if answersDue && status.PendingRequests > 0 { // every request gets an answer, also from a director that shuts down
+		out = append(out, FailPending)
+		status.PendingRequests = 0 // by that action
+	}
 	if s.phase == PhaseDrainingSessions &&
 		(status.PlayingSessions == 0 || status.SkipDrain || now-s.phaseStartedAt >= s.cfg.SessionDrainMs) {
 		if status.PlayingSessions > 0 {
@@ -107,7 +137,7 @@
 		status.UnconfirmedEnds += status.PlayingSessions
 	}
 	if s.phase == PhaseEndingSessions &&
-		(status.UnconfirmedEnds+status.UnsentMessages == 0 || now-s.phaseStartedAt >= s.cfg.EndConfirmMs) {
+		(status.PendingRequests+status.UnconfirmedEnds+status.UnsentMessages == 0 || now-s.phaseStartedAt >= s.cfg.EndConfirmMs) {
 		s.enter(now, PhaseStopped)
 		out = append(out, CloseAllConnections)
 	}
--- a/decide/shutdown/shutdown_test.go
+++ b/decide/shutdown/shutdown_test.go
@@ -49,7 +49,7 @@
 			{100, Status{StopRequested: true, SkipDrain: true, PendingRequests: 1},
 				"close_listeners fail_pending close_all "}},
 	} {
-		s := New(Config{SetupDrainMs: 100, SessionDrainMs: 1000, EndConfirmMs: 10})
+		s := New(Config{AnswerMs: 100, SessionDrainMs: 1000, EndConfirmMs: 10})
 		for i, step := range steps {
 			got := ""
 			for _, a := range s.Step(step.at, step.status, nil) {
@@ -61,3 +61,36 @@
 		}
 	}
 }
+
+// Guards against requests that a stop neither refuses nor fails because they arrive after a change of phase: sessions play
+// on, and requests come on connections that stay open.
+func TestRequestsThatArriveDuringAStop(t *testing.T) {
+	s := New(Config{AcceptMs: 20, NoticeMs: 20, AnswerMs: 100, SessionDrainMs: 1000, EndConfirmMs: 10})
+	if !s.Accepts(5) || s.TimeLeft(5, 300) != 300 {
+		t.Fatal("a director that is serving accepts requests with all their time")
+	}
+	s.Step(10, Status{StopRequested: true, PlayingSessions: 1}, nil)
+	for _, c := range []struct {
+		at       float64 // ms
+		accepts  bool
+		timeLeft float64 // of 300 ms
+	}{{10, true, 100}, {29, true, 81}, {30, false, 80}, {100, false, 10}, {110, false, 0}, {500, false, 0}} {
+		if got := s.Accepts(c.at); got != c.accepts {
+			t.Errorf("at %v ms: accepts %v", c.at, got)
+		}
+		if got := s.TimeLeft(c.at, 300); got != c.timeLeft {
+			t.Errorf("at %v ms: %v ms left, want %v", c.at, got, c.timeLeft)
+		}
+	}
+	playing := Status{StopRequested: true, PlayingSessions: 1}
+	waiting := Status{StopRequested: true, PlayingSessions: 1, PendingRequests: 1}
+	s.Step(31, playing, nil)
+	if s.Phase() != PhaseDrainingSessions || s.Accepts(31) {
+		t.Fatalf("%v at 31 ms, and requests are accepted: %v", s.Phase(), s.Accepts(31))
+	}
+	for _, at := range []float64{110, 111, 600} { // whenever one waits, not only once
+		if got := s.Step(at, waiting, nil); len(got) != 1 || got[0] != FailPending {
+			t.Errorf("at %v ms: actions %v, want FailPending", at, got)
+		}
+	}
+}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -251,7 +251,7 @@
 	})
 	d.shutdown = shutdown.New(shutdown.Config{
 		NoticeMs:       t.NoticeMs,
-		SetupDrainMs:   t.SetupDrainMs,
+		AnswerMs:       t.SetupDrainMs,
 		SessionDrainMs: t.SessionDrainMs,
 		EndConfirmMs:   t.EndConfirmMs,
 	})
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -313,6 +313,27 @@
 	}
 }
 
+// ReadAvailable delivers the input that the kernel holds at the moment, before its owner closes the connection. It must not
+// be called from a handler's Data.
+func (c *Conn) ReadAvailable() {
+	if c.readPaused || !c.Open() || c.Reusable() {
+		return
+	}
+	for range maxReadsPerEvent {
+		n, err := unix.Read(c.fd, c.loop.readBuf)
+		if err == unix.EINTR {
+			continue
+		}
+		if err != nil || n == 0 {
+			return
+		}
+		c.handler.Data(c, c.loop.readBuf[:n])
+		if c.state != stateOpen || n < len(c.loop.readBuf) {
+			return
+		}
+	}
+}
+
 func (c *Conn) read(ev uint32) {
 	for range maxReadsPerEvent {
 		if c.readPaused && ev&(unix.EPOLLHUP|unix.EPOLLERR) == 0 {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -36,11 +36,11 @@
 const (
 	readBufferBytes     = 64 << 10
 	maxEpollEvents      = 256
-	maxAcceptsPerEvent  = 64      // connections accepted per readiness event, so that a burst does not starve other sockets
-	lingerTimeoutMs     = 2000    // longest time that input is discarded after a connection was closed
-	maxLingerBytes      = 1 << 20 // most input that is discarded per lingering connection
-	defaultMaxLingering = 1024    // most lingering connections; further ones are closed at once
-	maxReadsPerEvent    = 4       // reads of one connection per readiness event, so that it does not starve other sockets
+	maxAcceptsPerEvent  = 64       // connections accepted per readiness event, so that a burst does not starve other sockets
+	lingerTimeoutMs     = 2000     // longest time that input is discarded after a connection was closed
+	maxLingerBytes      = 16 << 20 // most input that is discarded per lingering connection
+	defaultMaxLingering = 1024     // most lingering connections; further ones are closed at once
+	maxReadsPerEvent    = 4        // reads of one connection per readiness event, so that it does not starve other sockets
 )
 
 // ErrSlowReader is passed to Closed when buffered output exceeds the connection's limit.
@@ -71,6 +71,8 @@
 	onIteration     func()       // called at the end of each iteration
 	localNetwork    netip.Prefix // permitted addresses besides the loopback interface's
 
+	stopping bool // Run returns once no connection lingers
+
 	mu            sync.Mutex
 	posted        []func()
 	stopRequested bool
@@ -137,6 +139,28 @@
 	l.wakeUp()
 }
 
+// StopGracefully makes Run return once the connections that were closed gracefully have sent their output and ended, or
+// after lingerTimeoutMs. It must be called on the loop's goroutine.
+func (l *Loop) StopGracefully() {
+	if !l.stopping {
+		l.stopping = true
+		l.After(lingerTimeoutMs, l.Stop)
+	}
+}
+
+// closing reports whether a connection that was closed gracefully has not ended.
+func (l *Loop) closing() bool {
+	if len(l.lingering) > 0 {
+		return true
+	}
+	for _, c := range l.conns {
+		if c.closeAfterFlush {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Loop) wakeUp() {
 	one := [8]byte{1}
 	unix.Write(l.wakeFD, one[:]) // EAGAIN means that a wake-up is already pending
@@ -229,7 +253,7 @@
 		l.mu.Lock()
 		stop := l.stopRequested
 		l.mu.Unlock()
-		if stop {
+		if stop || l.stopping && !l.closing() {
 			return nil
 		}
 		l.updateNow()
--- a/internal/platform/proxy/proxy.go
+++ b/internal/platform/proxy/proxy.go
@@ -84,16 +84,19 @@
 	// releaseRetransmitMs is the time to wait for a confirmation before the release is repeated: a third of the second
 	// within which a viewer must be notified (PROTOCOL, "The rules on sockets").
 	releaseRetransmitMs = 333.0
-	// shutdownNoticeMs is the time after SIGTERM for which connections are still accepted: new requests arrive for up to
-	// 0.6 s after it, and all of them must be served (DAYS, "New configurations and restarts").
-	shutdownNoticeMs = 1500.0
-	// maxDrainDeadlineMs is the longest class deadline that a stop waits for (DAYS, "New configurations and restarts").
+	// minAcceptMs and maxAcceptMs bound the time after SIGTERM for which connections and set-ups are still accepted:
+	// viewers can't know of the stop for up to 0.7 s (DAYS, "New configurations and restarts").
+	minAcceptMs = 700.0
+	maxAcceptMs = 1500.0
+	// maxDrainDeadlineMs is the longest class deadline that a stop waits for, and killDelayMs the time beyond it after
+	// which SIGKILL may come (DAYS, "New configurations and restarts").
 	maxDrainDeadlineMs = 3000.0
+	killDelayMs        = 700.0
+	// killMarginMs is the time before the earliest SIGKILL by which all set-ups are answered. It covers a late event loop
+	// and the last writes.
+	killMarginMs = 200.0
 	// maxUsualLagMs is the longest iteration of the event loop that is not logged.
 	maxUsualLagMs = 100.0
-	// drainMarginMs is the time beyond that deadline in which pending set-ups are answered: SIGKILL comes 700 ms beyond
-	// it (DAYS, "New configurations and restarts").
-	drainMarginMs = 550.0
 )
 
 // Stats counts events since the start. The "stopped" log line prints the struct, so the field names are external names.
@@ -103,7 +106,7 @@
 	//	Asked    passed to the decision module
 	//	Played   answered with a session
 	//	Refused  refused by the module
-	//	Denied   refused at a memory limit, before they reached the module
+	//	Denied   refused before they reached the module: at a memory limit, late in a stop, or at a close
 	//	Failed   failed by the module, or still pending at the end of a stop
 	//	Left     pending set-ups that their viewers gave up
 	//	Bad      invalid set-ups, malformed lines, and connections closed for sending no set-up, or part of a line
@@ -128,6 +131,7 @@
 	nodeList      *discovery.List
 	healthMonitor *health.Monitor
 	shutdown      *shutdown.Shutdown
+	shutdownTimes shutdown.Config
 	discovery     discoveryClient
 	listener      *loop.Listener
 
@@ -172,10 +176,8 @@
 	p.nodeList = discovery.New(discovery.Config{MaxNodes: 4096, Cells: module.Cells, Kinds: len(cfg.Vocabulary.Kinds),
 		VersionsMayRestart: true})
 	p.healthMonitor = health.New(healthConfig(cfg))
-	p.shutdown = shutdown.New(shutdown.Config{NoticeMs: shutdownNoticeMs,
-		SetupDrainMs:   math.Min(slices.Max(cfg.DeadlineMs), maxDrainDeadlineMs) + drainMarginMs,
-		SessionDrainMs: math.Inf(1),         // no limit: sessions play on until they end or a second stop is requested
-		EndConfirmMs:   releaseRetentionMs}) // for unconfirmed releases, which are kept no longer than that
+	p.shutdownTimes = shutdownConfig(cfg)
+	p.shutdown = shutdown.New(p.shutdownTimes)
 	// File descriptors: at most a half for connections of viewers, a third for those to media nodes (dial) and a
 	// sixteenth for connections that linger after their close. The rest is for the listener, DNS and the process.
 	p.connManager = connmgr.New(connmgr.Config{MaxConns: cfg.Sockets / 2, ReadTimeoutMs: readTimeoutMs,
@@ -196,6 +198,22 @@
 	return p, nil
 }
 
+// shutdownConfig sets the times of a stop from the earliest moment at which SIGKILL may come. Set-ups are accepted while the
+// time that viewers of every class want at most is left before the last answer, but for as long as viewers can't know of
+// the stop in any case; the listener is open for the same time.
+func shutdownConfig(cfg *Config) shutdown.Config {
+	answer := math.Min(slices.Max(cfg.DeadlineMs), maxDrainDeadlineMs) + killDelayMs - killMarginMs
+	target := 0.0
+	for _, class := range cfg.Module.Classes {
+		target = math.Max(target, class.TargetMs)
+	}
+	accept := math.Max(minAcceptMs, math.Min(maxAcceptMs, answer-target))
+	return shutdown.Config{AcceptMs: accept, NoticeMs: accept, AnswerMs: answer,
+		SessionDrainMs: math.Inf(1),        // no limit: sessions play on until they end or a second stop is requested
+		EndConfirmMs:   releaseRetentionMs, // for unconfirmed releases, which are kept no longer than that
+	}
+}
+
 // healthConfig sets when a silent media node is probed with a connection, and when its sessions are given up. What
 // decide/health calls the event stream of a media node is any established connection here.
 //
@@ -251,7 +269,15 @@
 
 // Stop starts a graceful stop; a second call skips the session drain, the wait for sessions that play. It may be called
 // from any goroutine.
-func (p *Proxy) Stop() { p.loop.Post(func() { p.skipDrain = p.stopRequested; p.stopRequested = true }) }
+func (p *Proxy) Stop() {
+	p.loop.Post(func() {
+		if p.skipDrain = p.stopRequested; !p.stopRequested {
+			p.stopRequested = true
+			p.loop.After(p.shutdownTimes.AnswerMs, p.stepShutdown) // the sweep may be late for it
+		}
+		p.stepShutdown()
+	})
+}
 
 // Reload applies the address of the discovery service from a configuration that was read again. All other settings stay
 // as they were at the start. It may be called from any goroutine.
@@ -432,7 +458,7 @@
 func (p *Proxy) applyShutdownAction(action shutdown.Action) {
 	switch action {
 	case shutdown.RefuseNewSessions:
-		// Nothing is refused: viewers can't know of the stop yet, so set-ups are served until the listener closes.
+		// startSession asks p.shutdown for each set-up.
 	case shutdown.CloseListeners:
 		p.listener.StopAccepting()
 	case shutdown.FailPending:
@@ -444,10 +470,23 @@
 	case shutdown.EndSessions:
 		// Nothing is ended: sessions play on at their media nodes, and the next start of this director adopts them.
 	case shutdown.CloseAllConnections:
+		p.closeAll()
 		p.Done()
 	}
 }
 
+// closeAll closes all connections at the end of a stop. What viewers have sent by then is read, and set-ups are refused.
+func (p *Proxy) closeAll() {
+	for _, v := range p.viewers {
+		v.closeIdle()
+	}
+	for _, n := range p.nodes {
+		for _, nc := range n.conns {
+			nc.conn.CloseGracefully()
+		}
+	}
+}
+
 // failSetup answers a set-up that a stop can't wait for any longer. The cause is an error and no refusal, since its
 // attempt may have run.
 func (p *Proxy) failSetup(s *session) {
--- a/internal/platform/proxy/session.go
+++ b/internal/platform/proxy/session.go
@@ -101,9 +101,21 @@
 	}
 }
 
-// startSession passes a set-up to the decision module, or adopts a session that already plays. At a memory limit the
-// set-up is refused here, with the longest retry advice if the settings allow advice. Such a set-up never reaches the
-// module, so it is proven not to have run.
+// refuseSetup refuses a set-up that never reaches the module, so that it is proven not to have run, with the longest retry
+// advice if the settings allow advice.
+func (p *Proxy) refuseSetup(v *viewer, id uint64, r *setupRequest) {
+	p.stats.Denied++
+	waitMs := 0.0
+	if module := &p.cfg.Module; module.AdviseRetryAfter {
+		waitMs = module.MaxRetryAfterMs
+	}
+	p.log.Debug("set-up refused", "id", logID(id), "class", r.className, "conn", v.id,
+		"phase", p.shutdown.Phase().String(), "closing", v.closing)
+	v.sendRelease(id, causeCongested, waitMs)
+}
+
+// startSession passes a set-up to the decision module, or adopts a session that already plays. At a memory limit, late in
+// a stop and on a connection that is being closed the set-up is refused.
 func (p *Proxy) startSession(v *viewer, id uint64, r *setupRequest) {
 	sdpBytes := int64(len(r.sdp))
 	switch {
@@ -112,16 +124,17 @@
 		p.log.Debug("session plays at a media node that is not listed", "host", r.playingAt)
 		p.notifySessionEnd(v, id, causeReset)
 		return
+	case r.playingAt == "" && (v.closing || !p.shutdown.Accepts(p.loop.Now())):
+		p.refuseSetup(v, id, r)
+		return
 	case !p.quotas.Fits(limits.Sessions, 1), r.playingAt == "" && !p.quotas.Acquire(limits.PendingSetups, sdpBytes):
-		p.stats.Denied++
-		waitMs := 0.0
-		if module := &p.cfg.Module; module.AdviseRetryAfter {
-			waitMs = module.MaxRetryAfterMs
-		}
-		v.sendRelease(id, causeCongested, waitMs)
+		p.refuseSetup(v, id, r)
 		return
 	}
 	p.quotas.Acquire(limits.Sessions, 1)
+	if r.playingAt == "" {
+		r.timeLeftMs = p.shutdown.TimeLeft(p.loop.Now(), r.timeLeftMs)
+	}
 	p.lastModuleID++
 	s := &session{id: id, moduleID: p.lastModuleID, className: r.className, title: r.title, sdp: r.sdp, viewer: v,
 		deadline: p.loop.Now() + r.timeLeftMs, rung: p.cfg.Module.Classes[r.class].MinRung}
--- a/internal/platform/proxy/viewer.go
+++ b/internal/platform/proxy/viewer.go
@@ -31,6 +31,7 @@
 	partialLine []byte
 	pending     map[*session]struct{} // sessions in statePending that were requested here
 	playing     map[*session]struct{} // sessions that were set up or adopted here
+	closing     bool                  // the connection is about to be closed: set-ups are refused
 }
 
 // acceptViewer takes a new connection unless the connection manager closes it at once.
@@ -58,9 +59,10 @@
 		switch {
 		case action.Conn == ev.Conn: // just accepted: the loop closes it
 		case action.Reason == connmgr.LimitReached:
+			v.refuseUnread()
 			v.conn.Close(loop.ErrClosedByOwner)
 		default:
-			v.conn.CloseGracefully()
+			v.closeIdle()
 		}
 		if action.Reason == connmgr.NoRequest || action.Reason == connmgr.IncompleteMessage {
 			p.stats.Bad++
@@ -68,6 +70,19 @@
 	}
 }
 
+// closeIdle closes a connection without pending set-ups.
+func (v *viewer) closeIdle() {
+	v.refuseUnread()
+	v.conn.CloseGracefully()
+}
+
+// refuseUnread reads what has arrived on a connection that is about to be closed, and refuses the set-ups in it: their
+// viewers could not tell from the close whether they were read.
+func (v *viewer) refuseUnread() {
+	v.closing = true
+	v.conn.ReadAvailable()
+}
+
 // reportUse reports the numbers of pending set-ups and of sessions on the connection to the connection manager.
 func (v *viewer) reportUse() {
 	v.proxy.stepConnManager(connmgr.Event{Kind: connmgr.UseChanged, Conn: v.id, PendingSetups: len(v.pending),
