Count only what was observed as contact with a media node

Cause: when silence ends the event stream, connections that carry an attempt stay open; the next OpenStream found such a connection established and reported StreamOpened, which counts as contact though no byte had arrived, and no new connection was tried. A second silence followed, and so on while attempts ran. Class of fault: state that was there before is taken for an observation.

Now OpenStream is answered by a connection that was heard in the same iteration, or by a new one; a connection above the limits may be opened for it, so that attempts can't prevent it; a failed probe is reported also while other connections are open, with the refusal that it proves. Of the other events that move the clock: a session that a viewer names to a restarted director, and one claimed after a late answer, are SessionAdopted, no contact; bytes count in every state of the stream.

--- a/decide/health/health.go
+++ b/decide/health/health.go
@@ -17,13 +17,17 @@
 //	down     no contact for NodeTimeoutMs, or refusalsUntilDown connections refused in a row; its sessions were given
 //	         up. The external name of this state is "lost".
 //
-// What each event does (of an unknown media node only SetupSent and SessionStarted count, as in idle):
+// Contact is what was observed of the media node at that moment: bytes received, or a connection that came up. A
+// connection that was open before and a session that is only said to play there are none.
+//
+// What each event does (of an unknown media node only SetupSent, SessionStarted and SessionAdopted count, as in idle):
 //
 //	SetupSent       idle, down: opens the stream (to opening); in every state the set-up is pending
 //	SessionStarted  idle, down: opens the stream (to opening); in every state it counts as contact
+//	SessionAdopted  as SessionStarted, but is no contact
 //	SessionEnded    removes the session or its set-up; without any left the media node is unused
 //	StreamOpened    opening: compares the sessions, reports lost ones and orphans (to up); else ignored
-//	StreamActivity  up: counts as contact; else ignored
+//	StreamActivity  opening, up, broken: counts as contact; else ignored
 //	StreamFailed    opening, up: schedules a retry with exponential backoff (to broken, or to idle if unused); else
 //	                ignored
 //	Tick            opening: after OpenTimeoutMs closes the stream (to broken, or to idle if unused)
@@ -57,10 +61,11 @@
 // The kinds of events.
 const (
 	SetupSent      EventKind = iota // Node, Session: a set-up is sent there
-	SessionStarted                  // Node, Session: it plays there
+	SessionStarted                  // Node, Session: the media node has just answered that it plays there
+	SessionAdopted                  // Node, Session: it plays there, by an earlier answer or a viewer's word
 	SessionEnded                    // Node, Session: it ended, or its set-up failed
-	StreamOpened                    // Node, BootID, Sessions: the stream is open; what the node runs for this director
-	StreamActivity                  // Node: bytes on the stream
+	StreamOpened                    // Node, BootID, Sessions: the stream has just come up; what the node runs for this director
+	StreamActivity                  // Node: bytes from it
 	StreamFailed                    // Node, ConnRefused: the stream ended, or could not be opened
 	Tick                            // only time passes
 )
@@ -180,7 +185,7 @@
 		}
 		node := m.nodes[ev.Node]
 		if node == nil {
-			if ev.Kind != SetupSent && ev.Kind != SessionStarted {
+			if ev.Kind != SetupSent && ev.Kind != SessionStarted && ev.Kind != SessionAdopted {
 				continue
 			}
 			node = &nodeState{id: ev.Node, pendingSetups: map[SessionID]bool{}, sessions: map[SessionID]float64{}}
@@ -202,10 +207,12 @@
 		if node.state == StateIdle || node.state == StateDown { // down: a new set-up is sent there, so it may be back
 			m.openStream(node)
 		}
-	case SessionStarted: // the answer to the set-up is contact as well as a byte on the stream is
+	case SessionStarted, SessionAdopted:
 		delete(node.pendingSetups, ev.Session)
 		node.sessions[ev.Session] = m.now
-		node.lastContactAt = math.Max(node.lastContactAt, m.now)
+		if ev.Kind == SessionStarted { // the answer to the set-up is contact as well as a byte on the stream is
+			node.lastContactAt = math.Max(node.lastContactAt, m.now)
+		}
 		if node.state == StateIdle || node.state == StateDown {
 			m.openStream(node)
 		}
@@ -220,7 +227,7 @@
 			m.reconcileSessions(node, ev)
 		}
 	case StreamActivity:
-		if node.state == StateUp {
+		if node.state == StateOpening || node.state == StateUp || node.state == StateBroken {
 			node.lastContactAt = m.now
 		}
 	case StreamFailed:
--- a/decide/health/health_test.go
+++ b/decide/health/health_test.go
@@ -116,3 +116,16 @@
 		t.Fatalf("%d unused media nodes are never forgotten", len(m.nodes))
 	}
 }
+
+// Guards against sessions of a vanished media node that are kept too long because further ones are adopted there: a
+// viewer's word is no contact. Bytes are, whatever the state of the stream.
+func TestOnlyObservationsAreContact(t *testing.T) {
+	adopted := func(id SessionID) Event { return Event{Kind: SessionAdopted, Session: id} }
+	run(t, "adopted", newTestMonitor(), []step{{0, adopted(1), "open"}, {1, failed, ""}, {101, tick, "open"},
+		{102, failed, ""}, {302, tick, "open"}, {303, failed, ""}, {400, adopted(2), ""}, {703, tick, "open"},
+		{704, failed, ""}, {900, adopted(3), ""}, {1001, tick, "down(3) lost1 lost2 lost3"}})
+	run(t, "bytes", newTestMonitor(), []step{{0, setupSent(1), "open"}, {1, opened(), ""}, {2, started(1), ""},
+		{303, tick, "close"}, {350, activity, ""}, {403, tick, "open"}, {700, activity, ""}, {701, failed, ""},
+		{901, tick, "open"}, {902, failed, ""}, {1302, tick, "open"}, {1303, failed, ""}, {1700, tick, ""},
+		{1701, tick, "down(1) lost1"}})
+}
--- a/internal/director/session.go
+++ b/internal/director/session.go
@@ -338,7 +338,7 @@
 	s.rung = s.sentRung
 	d.recordSessionStart(s, quality.SessionAdopted)
 	d.healthEvents = append(d.healthEvents, health.Event{
-		Kind:    health.SessionStarted,
+		Kind:    health.SessionAdopted,
 		Node:    health.NodeID(s.node),
 		Session: health.SessionID(s.id),
 	})
--- a/internal/platform/proxy/medianode.go
+++ b/internal/platform/proxy/medianode.go
@@ -57,7 +57,9 @@
 	reader         frame.Reader
 	attempts       map[uint64]*setupAttempt // by protocol id of the session
 	partialSince   float64                  // loop time, ms, since which a message is incomplete
+	probe          bool                     // its coming up or failing is the result of health.OpenStream
 	lastUsed       float64                  // loop time, ms, of the last bytes sent or received
+	lastHeard      float64                  // loop time, ms, at which it came up or last received bytes
 	recentReleases []sentRelease            // oldest first
 	connectTimer   *loop.Timer
 }
@@ -83,13 +85,27 @@
 // dial opens a connection. It returns nil at a connection limit, on an error, or if another media node now has the
 // address.
 func (n *mediaNode) dial() *nodeConn {
-	if n.addrReassigned() {
-		return nil
-	}
 	// A third of the file descriptors is for connections to media nodes; see New.
 	if len(n.conns) >= maxConnsPerNode || n.proxy.nodeConnCount >= n.proxy.cfg.Sockets/3 {
 		return nil
 	}
+	return n.dialBeyondLimits()
+}
+
+// dialProbe opens a connection to find out whether the media node is alive. One above its limit is allowed to each media
+// node, so that set-ups in progress can't prevent that, and a thirty-second of the file descriptors above the limit of all.
+func (n *mediaNode) dialProbe() *nodeConn {
+	if len(n.conns) > maxConnsPerNode || n.proxy.nodeConnCount >= n.proxy.cfg.Sockets/3+n.proxy.cfg.Sockets/32 {
+		return nil
+	}
+	return n.dialBeyondLimits()
+}
+
+// dialBeyondLimits opens a connection whatever the number of those that are open.
+func (n *mediaNode) dialBeyondLimits() *nodeConn {
+	if n.addrReassigned() {
+		return nil
+	}
 	nc := &nodeConn{node: n, addr: n.addr, attempts: map[uint64]*setupAttempt{}, lastUsed: n.proxy.loop.Now()}
 	conn, err := n.proxy.loop.Dial(n.addr, nc)
 	if err != nil {
@@ -165,16 +181,27 @@
 	return best
 }
 
-// ensureConn opens a connection unless one is established or being opened, and reports the result to the health monitor
-// as that of its event stream. A node whose address has been reassigned counts as one that refused the connection.
+// ensureConn opens a connection unless the node was heard in this iteration or one is being opened, and reports the result
+// to the health monitor as that of its event stream. That a connection was established earlier proves nothing now. A node
+// whose address has been reassigned counts as one that refused the connection.
 func (n *mediaNode) ensureConn() {
-	toCurrentAddr := func(nc *nodeConn) bool { return nc.addr == n.addr }
-	if n.leastLoadedConn() != nil {
+	now := n.proxy.loop.Now()
+	if slices.ContainsFunc(n.conns, func(nc *nodeConn) bool { return nc.usable() && nc.lastHeard >= now }) {
 		n.reportStreamOpened()
-	} else if !slices.ContainsFunc(n.conns, toCurrentAddr) && n.dial() == nil {
-		n.proxy.queueHealthEvent(health.Event{Kind: health.StreamFailed, Node: health.NodeID(n.id),
-			ConnRefused: n.addrReassigned()})
+		return
+	}
+	for _, nc := range n.conns {
+		if !nc.established && nc.addr == n.addr {
+			nc.probe = true
+			return
+		}
+	}
+	if nc := n.dialProbe(); nc != nil {
+		nc.probe = true
+		return
 	}
+	n.proxy.queueHealthEvent(health.Event{Kind: health.StreamFailed, Node: health.NodeID(n.id),
+		ConnRefused: n.addrReassigned()})
 }
 
 // reportStreamOpened reports an established connection to the health monitor.
@@ -264,7 +291,7 @@
 func (nc *nodeConn) Connected(conn *loop.Conn) {
 	n := nc.node
 	n.proxy.loop.Cancel(nc.connectTimer)
-	nc.established = true
+	nc.established, nc.lastHeard = true, n.proxy.loop.Now()
 	for _, msg := range n.queue {
 		conn.Write(msg)
 	}
@@ -287,7 +314,7 @@
 func (nc *nodeConn) Data(conn *loop.Conn, data []byte) {
 	p := nc.node.proxy
 	p.queueHealthEvent(health.Event{Kind: health.StreamActivity, Node: health.NodeID(nc.node.id)})
-	nc.lastUsed = p.loop.Now()
+	nc.lastUsed, nc.lastHeard = p.loop.Now(), p.loop.Now()
 	wasPartial := nc.reader.Partial()
 	err := nc.reader.Feed(data, func(msg *frame.Message) bool {
 		wasPartial = false // an incomplete message after this one is a new one
@@ -330,7 +357,7 @@
 	if loop.IsConnRefused(err) { // no process runs there, so there is none to send messages to
 		n.queue = nil
 	}
-	if len(n.conns) == 0 {
+	if len(n.conns) == 0 || nc.probe && !nc.established {
 		n.proxy.queueHealthEvent(health.Event{Kind: health.StreamFailed, Node: health.NodeID(n.id),
 			ConnRefused: loop.IsConnRefused(err)})
 	} else if nc.established && err != nil && len(n.sessions) > 0 {
--- a/internal/platform/proxy/session.go
+++ b/internal/platform/proxy/session.go
@@ -161,7 +161,7 @@
 	s.viewer.markPlaying(s)
 	ev.Kind, ev.Node = headmill.EvExistingSession, node
 	p.queueEvent(ev)
-	p.queueHealthEvent(health.Event{Kind: health.SessionStarted, Node: health.NodeID(node),
+	p.queueHealthEvent(health.Event{Kind: health.SessionAdopted, Node: health.NodeID(node),
 		Session: health.SessionID(s.moduleID)})
 }
 
