--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -38,6 +38,7 @@
 	maxEpollEvents      = 256
 	maxAcceptsPerEvent  = 64       // connections accepted per readiness event, so that a burst does not starve other sockets
 	lingerTimeoutMs     = 2000     // longest time that input is discarded after a connection was closed
+	stopTimeoutMs       = 300      // longest time that the end of the loop waits for connections that end
 	maxLingerBytes      = 16 << 20 // most input that is discarded per lingering connection
 	defaultMaxLingering = 1024     // most lingering connections; further ones are closed at once
 	maxReadsPerEvent    = 4        // reads of one connection per readiness event, so that it does not starve other sockets
@@ -140,11 +141,11 @@
 }
 
 // StopGracefully makes Run return once the connections that were closed gracefully have sent their output and ended, or
-// after lingerTimeoutMs. It must be called on the loop's goroutine.
+// after stopTimeoutMs. It must be called on the loop's goroutine.
 func (l *Loop) StopGracefully() {
 	if !l.stopping {
 		l.stopping = true
-		l.After(lingerTimeoutMs, l.Stop)
+		l.After(stopTimeoutMs, l.Stop)
 	}
 }
 
--- /dev/null
+++ b/test/faults/soak_test.go
@@ -0,0 +1,263 @@
+package faults
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// The default is the short soak of CI; the long one is started by hand:
+//
+//	go test ./test/faults -run TestFaultSoak -seeds 60 -first-seed 100 -timeout 60m
+var (
+	seedCount   = flag.Int("seeds", 8, "seeds of the soak")
+	firstSeed   = flag.Uint64("first-seed", 1, "first seed of the soak")
+	soakWorkers = flag.Int("soak-workers", 3, "seeds that are played at once")
+)
+
+const (
+	soakDuration = 16 * time.Second // of faults and new set-ups
+	soakSettle   = 4 * time.Second  // afterwards, for what is owed
+)
+
+// Guards against broken rules under mixed faults: each seed draws a deployment and what goes wrong in it.
+func TestFaultSoak(t *testing.T) {
+	slots := make(chan struct{}, *soakWorkers)
+	for i := range *seedCount {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			playSoak(t, seed)
+		})
+	}
+}
+
+// soak is one run of mixed faults.
+type soak struct {
+	*world
+	rng   *rand.Rand
+	until time.Duration
+}
+
+func playSoak(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	ms := func(v int) time.Duration { return time.Duration(v) * time.Millisecond }
+	s := usualSettings
+	s.deadlines = [][2]time.Duration{{ms(3000), ms(3000)}, {ms(3000), ms(5000)}, {ms(860), ms(740)}, {ms(1200), ms(900)},
+		{ms(3000), ms(3000)}}[rng.IntN(5)]
+	s.connect = ms(100 + rng.IntN(200))
+	s.sockets = 256 + 256*rng.IntN(2)
+	s.reportNotes = rng.Float64() < 0.8
+	w := newWorld(t, seed, 2+rng.IntN(2), 5+rng.IntN(4), s)
+	w.sessionMs = 1000 + rng.IntN(12000)
+	k := &soak{world: w, rng: rng}
+	for _, d := range w.directors {
+		d.start()
+	}
+	k.until = w.now() + soakDuration
+	habits := viewerHabits{interval: ms(250 + rng.IntN(500)), pieces: 0.1 * rng.Float64(), short: 0.1 * rng.Float64(),
+		newConn: 0.2 * rng.Float64(), endsSoon: 0.2 * rng.Float64(), earlyLeave: 0.15 * rng.Float64()}
+	w.startViewers(10*len(w.directors), habits)
+	faults := []func(*rand.Rand){k.restartDirectors, k.troubleNodes, k.troubleNodes, k.troubleDiscovery, k.drainNodes,
+		k.reloadDirectors, k.cutConnections, k.sendBadInput, k.sendCrowds, k.delayConnects}
+	for i, fault := range faults {
+		if i > 1 && rng.Float64() < 0.4 { // the first two are played always
+			continue
+		}
+		faultRand := w.newRand()
+		w.clients.Add(1)
+		go func() {
+			defer w.clients.Done()
+			fault(faultRand)
+		}()
+	}
+	time.Sleep(soakDuration)
+	w.quiet.Store(true)
+	time.Sleep(max(s.deadlines[0], s.deadlines[1]) + soakSettle)
+	w.report(fmt.Sprintf("seed %d", seed))
+}
+
+// running tells whether faults are still played, after a pause of up to twice mean.
+func (k *soak) pause(rng *rand.Rand, mean time.Duration) bool {
+	time.Sleep(time.Duration(rng.Float64() * 2 * float64(mean)))
+	return k.now() < k.until && !k.hasStopped()
+}
+
+// restartDirectors stops directors one after another or two at a time, with signals in series, and kills some outright.
+func (k *soak) restartDirectors(rng *rand.Rand) {
+	for k.pause(rng, time.Second) {
+		if rng.Float64() < 0.15 {
+			d := k.directors[rng.IntN(len(k.directors))]
+			d.kill()
+			time.Sleep(time.Duration(rng.IntN(800)) * time.Millisecond)
+			d.start()
+			d.adopt(rng.Float64() < 0.5)
+			continue
+		}
+		done := make(chan struct{}, len(k.directors))
+		stopping := 0
+		for _, i := range rng.Perm(len(k.directors))[:1+rng.IntN(2)] {
+			d := k.directors[i]
+			life, running := d.current()
+			if !running {
+				continue
+			}
+			stopping++
+			for range rng.IntN(3) {
+				if k.now()-life.readyAt > time.Second {
+					d.reload()
+				}
+			}
+			if rng.Float64() < 0.25 { // a second request skips the wait for sessions
+				k.after(time.Duration(rng.IntN(3000))*time.Millisecond, func() { d.signal(syscall.SIGTERM) })
+			}
+			if rng.Float64() < 0.3 {
+				k.after(time.Duration(100+rng.IntN(2500))*time.Millisecond, d.reload)
+			}
+			pause, adopts := time.Duration(rng.IntN(600))*time.Millisecond, rng.Float64() < 0.5
+			go func() {
+				d.restart(pause)
+				d.adopt(adopts)
+				done <- struct{}{}
+			}()
+		}
+		for range stopping {
+			<-done
+		}
+	}
+}
+
+// troubleNodes lets media nodes hang, vanish, die, be replaced, or answer wrongly for a time.
+func (k *soak) troubleNodes(rng *rand.Rand) {
+	for k.pause(rng, 800*time.Millisecond) {
+		n := k.nodes[rng.IntN(len(k.nodes)-1)] // the last one stays good
+		if !n.claim() {
+			continue
+		}
+		length := time.Duration(300+rng.IntN(5000)) * time.Millisecond
+		switch rng.IntN(5) {
+		case 0:
+			n.setState(nodeHung)
+		case 1:
+			n.setState(nodeVanished)
+		case 2:
+			n.setState(nodeDead)
+		case 3: // the list learns of it
+			n.setState([]nodeState{nodeVanished, nodeDead}[rng.IntN(2)])
+			k.after(time.Duration(rng.IntN(3000))*time.Millisecond, func() { k.list.set(n, false, true) })
+		case 4:
+			n.setSpoilt(0.1 + 0.5*rng.Float64())
+		}
+		k.after(length, func() {
+			n.setState(nodeUp)
+			n.setSpoilt(0)
+			if k.list.isGone(n) {
+				k.list.set(n, false, false)
+			}
+			n.unclaim()
+		})
+	}
+}
+
+// troubleDiscovery lets the discovery service fall silent or answer wrongly, with a drain close to its return.
+func (k *soak) troubleDiscovery(rng *rand.Rand) {
+	for k.pause(rng, 2*time.Second) {
+		mode := []discoveryMode{discoverySilent, discoverySilent, discoveryFails, discoveryCut, discoveryOtherID}[rng.IntN(5)]
+		k.note("discovery mode %d", mode)
+		for _, d := range k.directors {
+			d.discovery.setMode(mode)
+		}
+		time.Sleep(time.Duration(300+rng.IntN(5000)) * time.Millisecond)
+		if n := k.nodes[rng.IntN(len(k.nodes)-1)]; n.claim() {
+			k.list.set(n, true, false)
+			k.after(time.Duration(1+rng.IntN(5))*time.Second, func() { k.list.set(n, false, true) })
+			k.after(6500*time.Millisecond, func() { k.list.set(n, false, false); n.unclaim() })
+		}
+		time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+		k.note("discovery is back")
+		for _, d := range k.directors {
+			d.discovery.setMode(discoveryUp)
+		}
+	}
+}
+
+// drainNodes drains media nodes, removes some of them, and lists them again.
+func (k *soak) drainNodes(rng *rand.Rand) {
+	for k.pause(rng, 1500*time.Millisecond) {
+		n := k.nodes[rng.IntN(len(k.nodes)-1)]
+		if !n.claim() {
+			continue
+		}
+		k.list.set(n, true, false)
+		time.Sleep(time.Duration(1000+rng.IntN(2000)) * time.Millisecond)
+		if rng.Float64() < 0.5 {
+			k.list.set(n, false, true)
+			n.setState(nodeDead)
+			time.Sleep(time.Duration(500+rng.IntN(1500)) * time.Millisecond)
+			n.setState(nodeUp)
+			k.list.set(n, false, false)
+		}
+		n.unclaim()
+	}
+}
+
+// reloadDirectors sends new configurations in quick succession.
+func (k *soak) reloadDirectors(rng *rand.Rand) {
+	for k.pause(rng, 2*time.Second) {
+		d := k.directors[rng.IntN(len(k.directors))]
+		for range 1 + rng.IntN(4) {
+			if life, running := d.current(); running && k.now()-life.readyAt > time.Second {
+				d.reload()
+			}
+			time.Sleep(time.Duration(rng.IntN(120)) * time.Millisecond)
+		}
+	}
+}
+
+// cutConnections resets connections to media nodes, also under begun set-ups, and closes others early.
+func (k *soak) cutConnections(rng *rand.Rand) {
+	for k.pause(rng, 300*time.Millisecond) {
+		k.nodes[rng.IntN(len(k.nodes))].cutSome(rng, rng.Float64() < 0.5)
+	}
+}
+
+// delayConnects lets new connections to a media node come up late.
+func (k *soak) delayConnects(rng *rand.Rand) {
+	for k.pause(rng, time.Second) {
+		n := k.nodes[rng.IntN(len(k.nodes))]
+		if n.claim() {
+			n.holdConnects(time.Duration(50+rng.IntN(900)) * time.Millisecond)
+			n.unclaim()
+		}
+	}
+}
+
+// sendCrowds sends bursts of set-ups on many new connections, beside silent ones.
+func (k *soak) sendCrowds(rng *rand.Rand) {
+	for k.pause(rng, 4*time.Second) {
+		k.note("a crowd")
+		var conns []*viewerConn
+		for range 40 + rng.IntN(60) {
+			v := k.dialAdmitted(rng)
+			if v == nil {
+				continue
+			}
+			conns = append(conns, v)
+			if rng.Float64() < 0.6 {
+				class := rng.IntN(2)
+				v.sendRequest(v.newRequest(class, k.settings.deadlines[class]), false)
+			}
+		}
+		time.Sleep(time.Duration(rng.IntN(3000)) * time.Millisecond)
+		for _, v := range conns {
+			if v.idle() { // one that a set-up is open on stays, as its viewer waits
+				v.conn.Close()
+			}
+		}
+	}
+}
