A request that joins a set-up whose end was requested is answered

Callers waited until their own time-out: after EndRequested on a pending entry a request of the same token joined it, and nobody was answered when the set-up ended. Now such a request fails at once, as the others did.

Evidence: TestRequestAfterEndRequested failed before the change (step 2 gave no action) and passes now.

--- a/decide/idempotency/ledger.go
+++ b/decide/idempotency/ledger.go
@@ -11,7 +11,8 @@
 // States of an entry, and what a request with the same key gets:
 //
 //	state           meaning                                   a request gets
-//	Pending         a set-up is wanted or in progress         the same answer as the other waiting requests
+//	Pending         a set-up is wanted or in progress         the same answer as the other waiting requests;
+//	                                                          AnswerFailed once its end was requested
 //	Playing         the session plays                         the same session
 //	Unclaimed       it plays, but no viewer has its answer    the same session; the entry is then Playing
 //	OutcomeUnknown  it may have run; no answer so far         paid: AnswerFailed; others: a new set-up
@@ -277,6 +278,10 @@
 	}
 	switch e.state {
 	case StatePending:
+		if e.endRequested { // nobody is answered when the set-up ends
+			l.fail(ev.Request, e.session, ReasonSessionEnded)
+			return
+		}
 		if len(e.waiters) >= l.cfg.MaxWaiters {
 			l.fail(ev.Request, e.session, ReasonTooManyWaiting) // not refused: an attempt is in progress and may run
 			return
--- a/decide/idempotency/ledger_test.go
+++ b/decide/idempotency/ledger_test.go
@@ -161,6 +161,15 @@
 	run(t, "unknown key", newTestLedger(), []step{{0, endRequest, ""}})
 }
 
+// Guards against a request without an answer: one that joins a set-up whose end was requested.
+func TestRequestAfterEndRequested(t *testing.T) {
+	endRequest := Event{Kind: EndRequested, Key: "j", Fingerprint: 1}
+	for name, paid := range map[string]bool{"paid": true, "repeatable": false} {
+		run(t, name, newTestLedger(), []step{{0, request(1, 1, paid), "start s1; "},
+			{1, endRequest, "fail r1 over; abandon s1; "}, {2, request(2, 2, paid), "fail r2 over; "}})
+	}
+}
+
 // The ledger refuses or fails requests over its limits, and never evicts a paid entry whose token is still valid.
 func TestLimits(t *testing.T) {
 	l := newTestLedger()
