HTTP and WebSocket fronts: a close or the end of a stop loses no request that has arrived

Callers got the end of the connection for a request that had arrived and was not read yet: when an idle connection was closed (idle time-out, begin of a stop), at the end of a stop, and from the listener's queue when it was closed. A shutdown could also end while the token of a request was being verified, which counted nowhere.

Now what has arrived is read before an owner's close (ReadAvailable), requests at the very end of a stop get 503 refused-stopping, the queue of the listener is served, and token checks count as pending.

Evidence: TestRequestBeforeAnIdleClose failed on (unexpected EOF) and passes.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -169,6 +169,7 @@
 	nextLoadMeasurement float64
 	maxBatch            int // largest batch of events in one step since the load was last measured
 	unconfirmedEnds     int
+	tokenChecks         int // requests whose token is being verified
 	stopRequested       bool
 	skipDrain           bool
 	// History stores closed windows; may be nil. Its owner closes it after the loop has ended.
@@ -329,7 +330,7 @@
 	for _, a := range d.shutdown.Step(d.loop.Now(), shutdown.Status{
 		StopRequested:   d.stopRequested,
 		SkipDrain:       d.skipDrain,
-		PendingRequests: len(d.requests),
+		PendingRequests: len(d.requests) + d.tokenChecks,
 		PlayingSessions: playing,
 		UnconfirmedEnds: d.unconfirmedEnds,
 	}, nil) {
@@ -341,7 +342,7 @@
 				v.drain()
 			}
 		case shutdown.CloseListeners:
-			d.listener.Close()
+			d.listener.StopAccepting()
 		case shutdown.FailPending:
 			for id := range d.sessions {
 				d.ledgerEvents = append(d.ledgerEvents, idempotency.Event{
@@ -357,21 +358,33 @@
 				}
 			}
 		case shutdown.CloseAllConnections:
-			d.stepModules()
-			for v := range d.viewers {
-				v.conn.CloseGracefully()
-			}
-			for w := range d.webSockets {
-				w.close(ws.CloseGoingAway, "this director is leaving") // text to clients: external
-			}
-			go d.tokenPool.Close()
-			if d.Done != nil {
-				d.Done()
-			}
+			d.closeAll()
 		}
 	}
 }
 
+// closeAll closes all connections of viewers at the end of a shutdown. What has arrived on them by then is read, and
+// requests are refused.
+func (d *Director) closeAll() {
+	for v := range d.viewers {
+		v.conn.ReadAvailable()
+	}
+	for w := range d.webSockets {
+		w.conn.ReadAvailable()
+	}
+	d.stepModules()
+	for v := range d.viewers {
+		v.conn.CloseGracefully()
+	}
+	for w := range d.webSockets {
+		w.close(ws.CloseGoingAway, "this director is leaving") // text to clients: external
+	}
+	go d.tokenPool.Close()
+	if d.Done != nil {
+		d.Done()
+	}
+}
+
 // wallClock returns the time that tokens are checked against.
 func (d *Director) wallClock() time.Time { return time.Now() }
 
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -11,6 +12,7 @@
 	"testing"
 	"time"
 
+	"headmill/decide/shutdown"
 	"headmill/internal/config"
 	"headmill/internal/dash"
 	"headmill/internal/standin/medianode"
@@ -738,3 +740,54 @@
 		t.Errorf("preflight of a segment: %d", p.StatusCode)
 	}
 }
+
+// Guards against a request that is lost in the close of an idle connection: it has arrived, and the loop has not read it.
+func TestRequestBeforeAnIdleClose(t *testing.T) {
+	env := newTestEnv(t, 1, nil)
+	conn, err := net.Dial("tcp4", env.director.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	const request = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
+	fmt.Fprint(conn, request)
+	reader := bufio.NewReader(conn)
+	conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	first, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.Copy(io.Discard, first.Body)
+	env.onLoop(func() int {
+		fmt.Fprint(conn, request)
+		for v := range env.director.viewers {
+			for deadline := time.Now().Add(5 * time.Second); v.conn.Reusable() && time.Now().Before(deadline); {
+				time.Sleep(time.Millisecond)
+			}
+			v.drain()
+		}
+		return 0
+	})
+	second, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatalf("a request that had arrived got no answer: %v", err)
+	}
+	if second.StatusCode != 200 {
+		t.Errorf("status %d", second.StatusCode)
+	}
+}
+
+// Guards against a shutdown that ends while the token of a request is being verified: the request has no answer yet.
+func TestStopWaitsForTokenChecks(t *testing.T) {
+	env := newTestEnv(t, 1, nil)
+	env.onLoop(func() int { env.director.tokenChecks++; return 0 })
+	env.director.Stop()
+	time.Sleep(time.Duration(2*env.cfg.Times.NoticeMs) * time.Millisecond)
+	phase := env.onLoop(func() int {
+		env.director.tokenChecks--
+		return int(env.director.shutdown.Phase())
+	})
+	if phase != int(shutdown.PhaseDrainingSetups) {
+		t.Errorf("phase %v while a token is being verified", shutdown.Phase(phase))
+	}
+}
--- a/internal/director/http.go
+++ b/internal/director/http.go
@@ -6,6 +6,7 @@
 	"net/url"
 	"strings"
 
+	"headmill/decide/idempotency"
 	"headmill/decide/limits"
 	"headmill/decide/shutdown"
 	"headmill/internal/http1"
@@ -170,6 +171,9 @@
 	path, query, _ := strings.Cut(string(msg.Target), "?")
 	method := string(msg.Method)
 	switch {
+	case d.shutdown.Phase() == shutdown.PhaseStopped:
+		v.writeProblem(503, "refused-"+idempotency.ReasonShuttingDown.String(), shuttingDownDetail,
+			d.cfg.Attempts.MaxRetryAfterMs)
 	case path == "/healthz" && (method == "GET" || method == "HEAD"):
 		v.handleHealth(method == "HEAD")
 	case method == "OPTIONS":
@@ -281,7 +285,9 @@
 	d := v.director
 	v.state, v.deadline = viewerCheckingToken, 0
 	synchronous := true
+	d.tokenChecks++
 	if !d.tokenChecker.VerifyAsync(d.tokenPool, raw, func(c *token.Claims, err error) {
+		d.tokenChecks--
 		if !v.conn.Open() || v.state != viewerCheckingToken { // the viewer disconnected; nothing was started for it
 			return
 		}
@@ -294,6 +300,7 @@
 			v.resume()
 		}
 	}) {
+		d.tokenChecks--
 		d.stats.Refused++
 		v.writeProblem(503, "refused-checks",
 			"more session tokens come than this director can check; nothing was set up",
@@ -320,6 +327,15 @@
 // drain closes an idle connection at the start of a shutdown; others are closed after their answer.
 func (v *viewerConn) drain() {
 	v.keepAlive = false
+	v.closeIdle()
+}
+
+// closeIdle closes a connection between requests. A request that has arrived by then is read and answered first: its
+// viewer could not tell from the close whether it was read.
+func (v *viewerConn) closeIdle() {
+	if v.state == viewerIdle {
+		v.conn.ReadAvailable()
+	}
 	if v.state == viewerIdle {
 		v.conn.CloseGracefully()
 	}
@@ -342,6 +358,10 @@
 			v.writeProblem(408, "too-slow", "the request did not come whole in time", 0)
 			continue
 		}
+		if v.state == viewerIdle && v.conn.Pending() == 0 {
+			v.closeIdle()
+			continue
+		}
 		v.conn.Close(loop.ErrClosedByOwner)
 	}
 }
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -219,6 +219,9 @@
 	return true
 }
 
+// shuttingDownDetail is the problem detail of a refusal during a shutdown.
+const shuttingDownDetail = "this director is stopping; another one will take the session"
+
 // completeRefused delivers the result of the ledger's AnswerRefused action.
 func (d *Director) completeRefused(req *sessionRequest, a idempotency.Action) {
 	r := requestResult{
@@ -233,7 +236,7 @@
 	case idempotency.ReasonLedgerFull:
 		r.detail = "this director is at a limit of its settings; nothing was set up"
 	case idempotency.ReasonShuttingDown:
-		r.detail = "this director is stopping; another one will take the session"
+		r.detail = shuttingDownDetail
 	}
 	d.complete(req, r)
 }
--- a/internal/director/websocket.go
+++ b/internal/director/websocket.go
@@ -9,6 +9,7 @@
 
 	"headmill/decide/idempotency"
 	"headmill/decide/limits"
+	"headmill/decide/shutdown"
 	pb "headmill/internal/api/sessionv1"
 	"headmill/internal/http1"
 	"headmill/internal/loop"
@@ -270,8 +271,10 @@
 	}
 	d := w.director
 	w.tokenChecks++
+	d.tokenChecks++
 	if !d.tokenChecker.VerifyAsync(d.tokenPool, raw, func(c *token.Claims, err error) {
 		w.tokenChecks--
+		d.tokenChecks--
 		switch {
 		case !w.conn.Open():
 		case err != nil:
@@ -281,6 +284,7 @@
 		}
 	}) {
 		w.tokenChecks--
+		d.tokenChecks--
 		d.stats.Refused++
 		w.sendRefused(id, "checks", "more session tokens come than this director can check; nothing was set up",
 			d.cfg.Attempts.MaxRetryAfterMs)
@@ -296,6 +300,11 @@
 // handleOpen requests a session, or attaches to the one of its token.
 func (w *webSocket) handleOpen(id uint64, m *pb.Open) {
 	d, maxima := w.director, &w.director.cfg.Limits
+	if d.shutdown.Phase() == shutdown.PhaseStopped {
+		d.stats.Refused++
+		w.sendRefused(id, idempotency.ReasonShuttingDown.String(), shuttingDownDetail, d.cfg.Attempts.MaxRetryAfterMs)
+		return
+	}
 	if pending := len(w.requests) + w.tokenChecks; pending >= maxima.PendingPerSocket ||
 		pending+len(w.sessions) >= maxima.SessionsPerSocket {
 		d.stats.Refused++ // a flood of opens costs no more than an answer each
--- a/internal/director/websocket_test.go
+++ b/internal/director/websocket_test.go
@@ -486,6 +486,7 @@
 		"not a message":                  {websocket.MessageBinary, "\xff\xff", websocket.StatusInvalidFramePayloadData},
 		"too long":                       {websocket.MessageBinary, strings.Repeat("x", 2001), websocket.StatusMessageTooBig},
 		"far too long":                   {websocket.MessageBinary, strings.Repeat("x", 900<<10), websocket.StatusMessageTooBig},
+		"over a megabyte too long":       {websocket.MessageBinary, strings.Repeat("x", 5<<20), websocket.StatusMessageTooBig},
 	} {
 		p := env.dialPlayer(env.token("free", "a"))
 		if err := p.conn.Write(p.ctx, c.kind, []byte(c.data)); err != nil {
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -399,3 +399,52 @@
 		t.Error("SetLocalAddr accepted an invalid address")
 	}
 }
+
+// Guards against a last answer that is lost at the end of the loop: input that nobody reads turns a close into a reset.
+func TestStopGracefullyDeliversTheLastAnswer(t *testing.T) {
+	accepted := make(chan *Conn, 1)
+	l, addr := startLoop(t, func(c *Conn) Handler { accepted <- c; return &echoHandler{discard: true} })
+	peer, err := net.Dial("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	c := <-accepted
+	l.Post(func() {
+		c.SetReadPaused(true)
+		peer.Write(make([]byte, 100000))
+		c.Write([]byte("answer"))
+		c.CloseGracefully()
+		l.StopGracefully()
+	})
+	peer.SetReadDeadline(time.Now().Add(5 * time.Second))
+	time.Sleep(20 * time.Millisecond) // the end of the loop must not overtake the answer
+	if got, err := io.ReadAll(peer); string(got) != "answer" || err != nil {
+		t.Fatalf("%q, %v", got, err)
+	}
+}
+
+// ReadAvailable delivers what the kernel holds though the loop has not read it yet.
+func TestReadAvailable(t *testing.T) {
+	accepted := make(chan *Conn, 1)
+	handler := &echoHandler{}
+	l, addr := startLoop(t, func(c *Conn) Handler { accepted <- c; return handler })
+	peer, err := net.Dial("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	c := <-accepted
+	l.Post(func() {
+		peer.Write([]byte("request"))
+		for deadline := time.Now().Add(5 * time.Second); c.Reusable() && time.Now().Before(deadline); {
+			time.Sleep(time.Millisecond)
+		}
+		c.ReadAvailable()
+		c.CloseGracefully()
+	})
+	peer.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if got, err := io.ReadAll(peer); string(got) != "request" || err != nil {
+		t.Fatalf("%q, %v", got, err)
+	}
+}
