Read a media node's last messages before its connection is closed as silent or unused

Callers could miss the end of a session: when silence or disuse closed a connection to a media node, a release that had just arrived on it was dropped with the unread input, and the session stood on until the node's next connection. Class of fault: bytes that cross a close.

--- a/internal/platform/proxy/medianode.go
+++ b/internal/platform/proxy/medianode.go
@@ -219,10 +219,13 @@
 	return ids
 }
 
-// closeUnusedConns closes the connections that carry no set-up. Where output is pending it is lost, so the error must be
-// another than ErrClosedByOwner: Closed then repeats recent releases.
+// closeUnusedConns closes the connections that carry no set-up, after reading what has arrived on them. Where output is
+// pending it is lost, so the error must be another than ErrClosedByOwner: Closed then repeats recent releases.
 func (n *mediaNode) closeUnusedConns() {
-	for _, nc := range n.conns {
+	for _, nc := range slices.Clone(n.conns) {
+		if len(nc.attempts) == 0 {
+			nc.conn.ReadAvailable()
+		}
 		switch {
 		case len(nc.attempts) > 0:
 		case nc.conn.Pending() > 0:
--- a/internal/platform/proxy/race_test.go
+++ b/internal/platform/proxy/race_test.go
@@ -422,3 +422,64 @@
 		t.Fatalf("%+v", reply)
 	}
 }
+
+// waitForInput waits until bytes have arrived on a connection that the loop has not read yet. It runs on the loop.
+func waitForInput(conn *loop.Conn) {
+	for deadline := time.Now().Add(testTimeout); unreadData(conn) == 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against a set-up that is lost when its connection is closed as idle or in a crowd: it has arrived, and the loop has
+// not read it. It is refused, so that its viewer knows that nothing ran.
+func TestSetupBeforeAClose(t *testing.T) {
+	for name, closeConn := range map[string]func(*Proxy, *viewer){
+		"idle": func(_ *Proxy, v *viewer) { v.closeIdle() },
+		"crowd": func(p *Proxy, v *viewer) {
+			for i := range p.cfg.Sockets / 2 {
+				p.stepConnManager(connmgr.Event{Kind: connmgr.Accepted, Conn: connmgr.ConnID(1000 + i)})
+				if v.closing {
+					return
+				}
+				p.connManager.Step(0, connmgr.Event{Kind: connmgr.RequestRead, Conn: connmgr.ConnID(1000 + i)}, nil)
+			}
+		},
+		"end of a stop": func(p *Proxy, _ *viewer) { p.closeAll() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := startHarness(t, 1, nil)
+			client := h.dialViewer()
+			h.expectViewerConns(1)
+			h.runOnLoop(func() {
+				for _, v := range h.proxy.viewers {
+					client.sendSetup(id1, "paid", "1;top:0")
+					waitForInput(v.conn)
+					closeConn(h.proxy, v)
+				}
+			})
+			if reply := client.receive(); reply.Type != "release" || reply.Cause != causeCongested {
+				t.Fatalf("%+v", reply)
+			}
+			if stats := h.stats(); stats.Attempts != 0 {
+				t.Fatalf("%+v", stats)
+			}
+		})
+	}
+}
+
+// Guards against a media node's release that is lost when its connection is closed as silent at the moment it arrives.
+func TestReleaseBeforeASilentClose(t *testing.T) {
+	h := startHarness(t, 1, nil)
+	v := h.dialViewer()
+	_, setup := h.playSession(v, id1)
+	node := h.session(id1).node
+	h.runOnLoop(func() {
+		conn := node.conns[0].conn
+		setup.sendRelease(causeNormal)
+		waitForInput(conn)
+		node.closeUnusedConns()
+	})
+	if reply := v.receive(); reply.Type != "release" || reply.ID != id1 || reply.Cause != causeNormal {
+		t.Fatalf("%+v", reply)
+	}
+}
