A stop ends sessions that turn out to play only while it ends the others

Sessions were left at their media nodes by a stopped director: one whose media node answered after the time-out and that no viewer had claimed, and one that began to play after EndSessions. On the platform, where sessions are kept for the next start, KeepSessions says so in place of an action that does nothing.

Evidence: TestStopEndsUnclaimedSessions failed without the change (the media node still ran the session 10 s after the stop) and passes with it.

--- a/decide/shutdown/shutdown.go
+++ b/decide/shutdown/shutdown.go
@@ -10,7 +10,8 @@
 //	DrainingSessions  no new sessions; sessions play on for a limited time.
 //	                  Ends once no session plays, when SkipDrain is set, or after SessionDrainMs:
 //	                  EndSessions if sessions still play.
-//	EndingSessions    the remaining sessions are being ended at their media nodes.
+//	EndingSessions    the remaining sessions are being ended at their media nodes; EndSessions again for those that turn
+//	                  out to play only now. With KeepSessions none is ended.
 //	                  Ends once all ends are confirmed and all messages are sent, or after EndConfirmMs:
 //	                  CloseAllConnections.
 //	Stopped           the connections are closed, the process exits.
@@ -31,6 +32,7 @@
 	NoticeMs       float64 // the listeners are open for at least so long, so that load balancers notice
 	AnswerMs       float64 // all requests are answered by then; more than AcceptMs
 	SessionDrainMs float64 // for sessions that play; infinite if they play on until SkipDrain is set
+	KeepSessions   bool    // sessions play on at their media nodes when the director has stopped
 	EndConfirmMs   float64 // for media nodes to confirm ended sessions, and for answers to be written
 }
 
@@ -130,10 +132,10 @@
 	}
 	if s.phase == PhaseDrainingSessions &&
 		(status.PlayingSessions == 0 || status.SkipDrain || now-s.phaseStartedAt >= s.cfg.SessionDrainMs) {
-		if status.PlayingSessions > 0 {
-			out = append(out, EndSessions)
-		}
 		s.enter(now, PhaseEndingSessions)
+	}
+	if s.phase == PhaseEndingSessions && status.PlayingSessions > 0 && !s.cfg.KeepSessions {
+		out = append(out, EndSessions)
 		status.UnconfirmedEnds += status.PlayingSessions
 	}
 	if s.phase == PhaseEndingSessions &&
--- a/decide/shutdown/shutdown_test.go
+++ b/decide/shutdown/shutdown_test.go
@@ -28,6 +28,7 @@
 			{999, Status{StopRequested: true, PlayingSessions: 4}, ""},
 			{1000, Status{StopRequested: true, PlayingSessions: 4}, "end_sessions "},
 			{1001, Status{StopRequested: true, UnconfirmedEnds: 1}, ""},
+			{1001, Status{StopRequested: true, PlayingSessions: 1}, "end_sessions "}, // by a late answer
 			{1002, Status{StopRequested: true}, "close_all "}},
 		"a media node does not confirm": {
 			{0, Status{StopRequested: true, PlayingSessions: 1}, "refuse_new close_listeners "},
@@ -62,6 +63,17 @@
 	}
 }
 
+// With KeepSessions, sessions are not ended and not waited for once the drain is skipped.
+func TestSessionsAreKept(t *testing.T) {
+	s := New(Config{AnswerMs: 100, SessionDrainMs: 1000, KeepSessions: true, EndConfirmMs: 10})
+	status := Status{StopRequested: true, PlayingSessions: 3}
+	s.Step(0, status, nil)
+	status.SkipDrain = true
+	if got := s.Step(1, status, nil); len(got) != 1 || got[0] != CloseAllConnections {
+		t.Fatalf("%v", got)
+	}
+}
+
 // Guards against requests that a stop neither refuses nor fails because they arrive after a change of phase: sessions play
 // on, and requests come on connections that stay open.
 func TestRequestsThatArriveDuringAStop(t *testing.T) {
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -322,7 +322,7 @@
 	playing := 0
 	if d.stopRequested {
 		for _, s := range d.sessions {
-			if s.state == sessionPlaying {
+			if s.state == sessionPlaying || s.unclaimed() {
 				playing++
 			}
 		}
@@ -352,17 +352,29 @@
 				})
 			}
 		case shutdown.EndSessions:
-			for _, s := range d.sessions {
-				if s.state == sessionPlaying {
-					d.endAtNode(s)
-				}
-			}
+			d.endAllSessions()
 		case shutdown.CloseAllConnections:
 			d.closeAll()
 		}
 	}
 }
 
+// endAllSessions ends all sessions at their media nodes, with those that no viewer has claimed.
+func (d *Director) endAllSessions() {
+	for _, s := range d.sessions {
+		switch {
+		case s.state == sessionPlaying:
+			d.endAtNode(s)
+		case s.unclaimed():
+			d.ledgerEvents = append(d.ledgerEvents, idempotency.Event{
+				Kind:        idempotency.EndRequested,
+				Key:         s.claims.jti,
+				Fingerprint: s.claims.fingerprint,
+			})
+		}
+	}
+}
+
 // closeAll closes all connections of viewers at the end of a shutdown. What has arrived on them by then is read, and
 // requests are refused.
 func (d *Director) closeAll() {
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -791,3 +791,28 @@
 		t.Errorf("phase %v while a token is being verified", shutdown.Phase(phase))
 	}
 }
+
+// Guards against a session that is left at its media node by a stop: the answer to its set-up comes after the time-out,
+// while the stop waits for other sessions, and no viewer claims it.
+func TestStopEndsUnclaimedSessions(t *testing.T) {
+	env := newTestEnv(t, 1, func(_ *config.Settings, n *medianode.Config) { n.OrphanTimeoutMs = 60000 })
+	env.wantStatus("plays", env.get("free", env.token("free", "a")), 200)
+	env.nodes[0].SetFaults(medianode.Faults{AnswerDelayMs: 750})
+	out := env.getAsync("paid", env.token("paid", "b"))
+	env.waitUntil("the set-up is pending",
+		func() bool { return env.onLoop(func() int { return int(env.director.Stats().Attempts) }) == 2 })
+	env.director.Stop()
+	env.wantStatus("the pending request", <-out, 504)
+	select {
+	case <-env.loopEnded:
+	case <-time.After(10 * time.Second):
+		t.Fatalf("did not stop\n%s", env.log)
+	}
+	if n := env.director.Stats().LateSuccesses; n != 1 {
+		t.Fatalf("%d late answers: the test proves nothing", n)
+	}
+	env.waitUntil("no session is left at the media node", func() bool {
+		n, _ := env.nodes[0].Counts()
+		return n == 0
+	})
+}
--- a/internal/director/session.go
+++ b/internal/director/session.go
@@ -58,6 +58,11 @@
 	retried                  bool    // the request was a retry
 }
 
+// unclaimed tells whether the session was set up after its attempt had been given up, and plays for no viewer.
+func (s *session) unclaimed() bool {
+	return s.state == sessionPending && s.setup == nil && s.mediaURL != ""
+}
+
 // stepModules passes the queued events to the decision packages until none are left. It runs at the end of each
 // iteration of the loop, so that the events of one iteration are decided as one batch, in order of arrival.
 func (d *Director) stepModules() {
@@ -298,6 +303,7 @@
 		d.unconfirmedEnds++
 		d.node(s.node).enqueueCommand("DELETE", "/sessions/"+d.sessionName(s), "", func(bool) { d.unconfirmedEnds-- })
 		if s.state != sessionPlaying {
+			s.mediaURL = "" // it is no longer to be claimed
 			d.healthEvents = append(d.healthEvents, health.Event{
 				Kind:    health.SessionEnded,
 				Node:    health.NodeID(s.node),
--- a/internal/platform/proxy/proxy.go
+++ b/internal/platform/proxy/proxy.go
@@ -210,6 +210,7 @@
 	accept := math.Max(minAcceptMs, math.Min(maxAcceptMs, answer-target))
 	return shutdown.Config{AcceptMs: accept, NoticeMs: accept, AnswerMs: answer,
 		SessionDrainMs: math.Inf(1),        // no limit: sessions play on until they end or a second stop is requested
+		KeepSessions:   true,               // the next start of this director adopts them
 		EndConfirmMs:   releaseRetentionMs, // for unconfirmed releases, which are kept no longer than that
 	}
 }
@@ -467,8 +468,7 @@
 				p.failSetup(s)
 			}
 		}
-	case shutdown.EndSessions:
-		// Nothing is ended: sessions play on at their media nodes, and the next start of this director adopts them.
+	case shutdown.EndSessions: // not with shutdown.Config.KeepSessions
 	case shutdown.CloseAllConnections:
 		p.closeAll()
 		p.Done()
