No connection is opened for each one that is closed as silent

After such a close the health monitor opens a connection itself.

Evidence: TestSilentCloseOpensNoConnections failed without the change (2 opened) and passes with it.

--- a/internal/platform/proxy/medianode.go
+++ b/internal/platform/proxy/medianode.go
@@ -363,7 +363,7 @@
 	if len(n.conns) == 0 || nc.probe && !nc.established {
 		n.proxy.queueHealthEvent(health.Event{Kind: health.StreamFailed, Node: health.NodeID(n.id),
 			ConnRefused: loop.IsConnRefused(err)})
-	} else if nc.established && err != nil && len(n.sessions) > 0 {
+	} else if nc.established && err != nil && err != loop.ErrClosedByOwner && len(n.sessions) > 0 {
 		// A release that the media node wrote here may be lost. The media node repeats it only on a newly opened
 		// connection. Other connections are open already, so without this dial none might be opened, and the session
 		// would stay in the table for good.
--- a/internal/platform/proxy/race_test.go
+++ b/internal/platform/proxy/race_test.go
@@ -483,3 +483,33 @@
 		t.Fatalf("%+v", reply)
 	}
 }
+
+// Guards against connections that multiply: each one that is closed as silent, but the last, was replaced by a new one.
+func TestSilentCloseOpensNoConnections(t *testing.T) {
+	h := startHarness(t, 1, nil)
+	v := h.dialViewer()
+	ids := []string{id1, id2}
+	var setups []nodeMessage
+	for _, id := range ids { // each on a connection of its own
+		v.sendSetup(id, "free", "1;top:0")
+		_, setup := h.expectSetup()
+		setups = append(setups, setup)
+	}
+	for _, setup := range setups {
+		setup.sendAnswer("x")
+		v.receive()
+	}
+	node := h.session(id1).node
+	h.runOnLoop(func() {
+		if len(node.conns) != 2 {
+			t.Errorf("%d connections: the test proves nothing", len(node.conns))
+		}
+		node.closeUnusedConns()
+	})
+	h.runOnLoop(func() {}) // Closed is called after the iteration
+	h.runOnLoop(func() {
+		if len(node.conns) != 0 {
+			t.Errorf("%d connections opened", len(node.conns))
+		}
+	})
+}
