A list older than the first one adds no removed media node after a start

Set-ups went to a removed media node when discovery answered with an older list for half a second after a director's start: two answers in a row that contradict the list are taken for versions that began again. Versions older than those of the start's list are old in any case; such a message now adds no media node that the first list did not have.

--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -22,7 +22,8 @@
 // With Config.VersionsMayRestart, a full message of the same epoch and the
 // present or an older version is Stale, but its drains count, until
 // maxContradictions of them in a row contradict the list; the last of these is
-// Accepted.
+// Accepted. One of an older version than the first message adds no media node
+// that this one did not have: it had been removed before.
 //
 // States of a media node, as named in messages:
 //
@@ -128,6 +129,8 @@
 	nodes          map[headmill.NodeID]*listedNode
 	drains         map[bootKey]float64 // draining boots, and when a message last had them
 	contradictions int                 // messages in a row that contradict the list
+	firstVersion   uint64              // of the first message
+	firstNodes     map[headmill.NodeID]bool
 }
 
 // New makes an empty list.
@@ -249,6 +252,9 @@
 		return ev, Invalid, fmt.Errorf("discovery: version %d has %d media nodes, over the limit of %d",
 			m.Version, n, l.cfg.MaxNodes)
 	}
+	if l.cfg.VersionsMayRestart && l.hasList && m.Version < l.firstVersion {
+		nodes = slices.DeleteFunc(nodes, func(node *listedNode) bool { return !l.firstNodes[node.id] })
+	}
 	l.trackDrains(now, nodes)
 	if l.cfg.VersionsMayRestart && m.Full && l.hasList && m.Epoch == l.epoch && m.Version <= l.version {
 		if l.contradictions++; l.matches(m.Version, nodes) {
@@ -259,6 +265,9 @@
 		}
 	}
 	l.contradictions = 0
+	if !l.hasList {
+		l.firstVersion, l.firstNodes = m.Version, seen
+	}
 	l.epoch, l.version, l.hasList = m.Epoch, m.Version, true
 	ev = headmill.Event{Kind: headmill.EvNodes, NodesAreDelta: !m.Full}
 	if m.Full {
--- a/decide/discovery/discovery_test.go
+++ b/decide/discovery/discovery_test.go
@@ -186,6 +186,9 @@
 			{full(4, nodeA, nodeB), Stale, none, 2}, {full(4, nodeA, nodeB), Accepted, drainingA + " 127.0.0.1:2/0/0", 2},
 			{full(6, nodeA), Accepted, drainingA, 1},
 			{full(7, entry("127.0.0.1:1", "ready", "new", 0)), Accepted, readyA, 1}},
+		"older than the first message, with a removed media node": {{full(5, nodeA), Accepted, readyA, 1},
+			{full(4, nodeA, nodeB), Stale, none, 1}, {full(4, nodeA, nodeB), Accepted, readyA, 1},
+			{full(6, nodeA, nodeB), Accepted, both, 2}},
 		"the same version with other contents": {{full(3, nodeA), Accepted, readyA, 1},
 			{full(3, nodeA, nodeB), Stale, none, 1}, {full(3, nodeA, nodeB), Accepted, both, 2}},
 	} {
