--- a/test/faults/director_test.go
+++ b/test/faults/director_test.go
@@ -212,8 +212,12 @@
 	d.start()
 }
 
-// reload moves the discovery endpoint and announces that with SIGHUP.
+// reload moves the discovery endpoint and announces that with SIGHUP, which never comes in a process's first second.
 func (d *director) reload() {
+	life, running := d.current()
+	if !running || d.world.now()-life.readyAt < time.Second {
+		return
+	}
 	d.discovery.move()
 	d.writeConfig()
 	d.signal(syscall.SIGHUP)
--- a/test/faults/discovery_test.go
+++ b/test/faults/discovery_test.go
@@ -91,6 +91,11 @@
 	discoveryFails // answers with a server failure
 	discoveryCut   // answers cut short
 	discoveryOtherID
+	discoveryOld  // every second answer has an older list
+	discoveryDown // nothing listens
+	discoveryModes
+
+	discoveryOldInARow // every answer has an older list; not in the soak, see TestOldListsAfterAStart
 )
 
 // discoveryEndpoint is the name service as one director reaches it: an address that answers, and may move.
@@ -98,9 +103,12 @@
 	director *director
 	mu       sync.Mutex
 	conn     *net.UDPConn
+	closed   bool // nothing listens
+	older    bool // the last answer had an older list
 	mode     discoveryMode
 	upSince  time.Duration            // when it last came back or moved; 0: never in trouble
 	told     map[uint32]time.Duration // when an answer with this version was first sent
+	answered []dnsmessage.Message     // one answer of each version, the last ones
 }
 
 func newDiscoveryEndpoint(d *director) *discoveryEndpoint {
@@ -111,7 +119,8 @@
 
 // move opens a new address; the old one no longer answers.
 func (e *discoveryEndpoint) move() {
-	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	network := e.director.world.network
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, byte(network.second), byte(network.third), firstDiscovery)})
 	if err != nil {
 		e.director.world.t.Error(err)
 		return
@@ -121,7 +130,7 @@
 		e.conn.Close()
 		e.upSince = e.director.world.now()
 	}
-	e.conn = conn
+	e.conn, e.closed = conn, false
 	e.mu.Unlock()
 	go e.serve(conn)
 }
@@ -144,9 +153,35 @@
 	if e.mode != discoveryUp && mode == discoveryUp {
 		e.upSince = e.director.world.now()
 	}
+	if mode == discoveryDown && !e.closed {
+		e.conn.Close()
+		e.closed = true
+	}
+	if mode != discoveryDown && e.closed {
+		e.listenAgain()
+	}
 	e.mode = mode
 }
 
+// listenAgain opens the address that was closed. The endpoint's lock is held.
+func (e *discoveryEndpoint) listenAgain() {
+	conn, err := net.ListenUDP("udp4", e.conn.LocalAddr().(*net.UDPAddr))
+	if err != nil {
+		e.director.world.t.Errorf("discovery cannot listen again: %v", err)
+		return
+	}
+	e.conn, e.closed = conn, false
+	go e.serve(conn)
+}
+
+// previous is the answer before the present version's, if there is one. The endpoint's lock is held.
+func (e *discoveryEndpoint) previous(now dnsmessage.Message, version uint32) dnsmessage.Message {
+	if n := len(e.answered); n == 0 || e.answered[n-1].Authorities[0].Body.(*dnsmessage.SOAResource).Serial != version {
+		e.answered = append(e.answered[max(n-1, 0):], now)
+	}
+	return e.answered[0]
+}
+
 func (e *discoveryEndpoint) serve(conn *net.UDPConn) {
 	for buf := make([]byte, 1024); ; {
 		size, from, err := conn.ReadFromUDP(buf)
@@ -160,7 +195,7 @@
 		e.mu.Lock()
 		mode := e.mode
 		e.mu.Unlock()
-		if mode == discoverySilent {
+		if mode == discoverySilent || mode == discoveryDown {
 			continue
 		}
 		out, version := e.answer(query.ID, mode)
@@ -202,7 +237,15 @@
 			fmt.Sprint("started=", entry.startedMs)}})
 	}
 	add(&answer.Authorities, "svc.local.", &dnsmessage.SOAResource{NS: name("ns."), MBox: name("m."), Serial: l.version})
+	e.mu.Lock()
+	previous := e.previous(answer, l.version)
+	e.mu.Unlock()
 	switch mode {
+	case discoveryOld, discoveryOldInARow:
+		previous.Header.ID = id
+		if e.older = !e.older || mode == discoveryOldInARow; e.older {
+			answer = previous
+		}
 	case discoveryFails:
 		answer = dnsmessage.Message{Header: dnsmessage.Header{ID: id, Response: true, RCode: dnsmessage.RCodeServerFailure}}
 	case discoveryOtherID:
--- a/test/faults/incident_test.go
+++ b/test/faults/incident_test.go
@@ -80,3 +80,20 @@
 	}
 	w.report("second SIGTERM")
 }
+
+// Guards against set-ups to a removed media node after a start while all answers have an older list that still has it.
+func TestOldListsAfterAStart(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 4, 1, 3, usualSettings)
+	d := w.directors[0]
+	d.start()
+	w.startViewers(12, steadyViewers)
+	time.Sleep(time.Second)
+	w.list.set(w.nodes[1], false, true)
+	time.Sleep(time.Second)
+	d.discovery.setMode(discoveryOldInARow)
+	d.kill()
+	d.start()
+	time.Sleep(2 * time.Second)
+	w.report("old lists after a start")
+}
--- a/test/faults/medianode_test.go
+++ b/test/faults/medianode_test.go
@@ -67,7 +67,8 @@
 type nodeFace struct {
 	node     *mediaNode
 	director int
-	listener *net.TCPListener
+	listener int  // descriptor, -1 if closed
+	held     bool // connects hang
 	addr     string
 	tcpAddr  *net.TCPAddr
 	conns    map[*nodeConn]bool
@@ -81,43 +82,75 @@
 	conn     net.Conn
 	attempts map[uint64]*attemptRecord
 	inPieces bool // a message is written in part: others wait for another connection
+	openedAt time.Duration
+	ended    string // how and when it ended
+}
+
+// noteEnd records how the connection ended. The lock of the records is held.
+func (nc *nodeConn) noteEnd(now time.Duration, how string) {
+	if nc.ended == "" {
+		nc.ended = fmt.Sprintf("open %.3f, %s %.3f", nc.openedAt.Seconds(), how, now.Seconds())
+	}
 }
 
 func newMediaNode(w *world, index int) *mediaNode {
 	n := &mediaNode{world: w, name: fmt.Sprintf("s-%08x", index+1), cell: index, rng: w.newRand()}
 	for d := range w.directors {
-		ln, err := net.Listen("tcp4", w.network.addr(firstNode+index, nodePort+d))
+		addr := w.network.addr(firstNode+index, nodePort+d)
+		tcpAddr, err := net.ResolveTCPAddr("tcp4", addr)
 		if err != nil {
 			w.t.Fatal(err)
 		}
-		face := &nodeFace{node: n, director: d, listener: ln.(*net.TCPListener), addr: ln.Addr().String(),
-			tcpAddr: ln.Addr().(*net.TCPAddr), conns: map[*nodeConn]bool{}}
+		face := &nodeFace{node: n, director: d, addr: addr, tcpAddr: tcpAddr, conns: map[*nodeConn]bool{}, listener: -1}
 		n.faces = append(n.faces, face)
-		go face.accept()
+		face.listen()
 	}
 	return n
 }
 
-func (f *nodeFace) accept() {
+// accept takes connections until the listener is closed. While connects are held, they stay in the queue.
+func (f *nodeFace) accept(listener int) {
 	for {
-		conn, err := f.listener.Accept()
-		if errors.Is(err, os.ErrDeadlineExceeded) { // see blackhole
+		poll := []unix.PollFd{{Fd: int32(listener), Events: unix.POLLIN}}
+		unix.Poll(poll, 20)
+		f.node.mu.Lock()
+		if f.listener != listener {
+			f.node.mu.Unlock()
+			return
+		}
+		if !f.held {
+			f.acceptAll()
+		}
+		f.node.mu.Unlock()
+		if f.isHeld() {
 			time.Sleep(2 * time.Millisecond)
-			continue
 		}
+	}
+}
+
+func (f *nodeFace) isHeld() bool {
+	f.node.mu.Lock()
+	defer f.node.mu.Unlock()
+	return f.held
+}
+
+// acceptAll takes the connections in the queue. The node's lock is held.
+func (f *nodeFace) acceptAll() {
+	for {
+		fd, _, err := unix.Accept4(f.listener, unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK)
 		if err != nil {
 			return
 		}
-		nc := &nodeConn{face: f, conn: conn, attempts: map[uint64]*attemptRecord{}}
-		f.node.mu.Lock()
-		if f.node.state == nodeDead || f.node.state == nodeVanished {
-			resetConn(conn)
-			f.node.mu.Unlock()
+		file := os.NewFile(uintptr(fd), "media node connection")
+		conn, err := net.FileConn(file)
+		file.Close()
+		if err != nil {
+			f.node.world.t.Error(err)
 			continue
 		}
+		nc := &nodeConn{face: f, conn: conn, attempts: map[uint64]*attemptRecord{}, openedAt: f.node.world.now()}
 		f.conns[nc] = true
 		f.sendUnsent(nc)
-		f.node.mu.Unlock()
 		go nc.read()
 	}
 }
@@ -126,7 +159,7 @@
 func (f *nodeFace) sendUnsent(nc *nodeConn) {
 	for _, s := range f.unsent {
 		if nc.write(encodeRelease(s.id, byte(s.endCause))) {
-			f.node.world.record(func() { s.releaseWritten(f.node.world.now()) })
+			f.node.world.record(func() { s.releaseWritten(f.node.world.now(), nc) })
 		}
 	}
 	f.unsent = nil
@@ -158,6 +191,7 @@
 		now := n.world.now()
 		n.mu.Lock()
 		if err != nil {
+			n.world.record(func() { nc.noteEnd(now, err.Error()) })
 			nc.closed(now)
 			n.mu.Unlock()
 			return
@@ -380,7 +414,7 @@
 	n.world.record(func() { s.end(now, causeNormal) })
 	f.unsent = append(f.unsent, s) // goes out on the next new connection as well
 	if nc := f.anyConn(preferred); nc != nil && nc.write(encodeRelease(s.id, causeNormal)) {
-		n.world.record(func() { s.releaseWritten(n.world.now()) })
+		n.world.record(func() { s.releaseWritten(n.world.now(), nc) })
 	}
 }
 
@@ -406,7 +440,7 @@
 		case state == nodeVanished:
 			f.blackhole()
 		case state == nodeDead:
-			f.listener.Close()
+			f.closeListener()
 		case before == nodeDead:
 			f.listen()
 		case before == nodeVanished:
@@ -420,6 +454,7 @@
 	for nc := range f.conns {
 		resetConn(nc.conn)
 		f.node.world.record(func() {
+			nc.noteEnd(now, "reset")
 			for _, a := range nc.attempts {
 				a.end(now, endFailed)
 			}
@@ -429,67 +464,64 @@
 	clear(f.conns)
 }
 
-// listen opens the listener again at its old address.
+// listen opens the listener at its address.
 func (f *nodeFace) listen() {
-	ln, err := net.Listen("tcp4", f.addr)
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err == nil {
+		unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+		err = errors.Join(unix.Bind(fd, f.sockaddr()), unix.Listen(fd, backlog))
+	}
 	if err != nil {
-		f.node.world.t.Errorf("media node cannot listen again: %v", err)
+		f.node.world.t.Errorf("media node cannot listen: %v", err)
 		return
 	}
-	f.listener = ln.(*net.TCPListener)
-	go f.accept()
+	f.listener, f.held = fd, false
+	go f.accept(fd)
 }
 
+// closeListener lets new connects be refused.
+func (f *nodeFace) closeListener() {
+	unix.Close(f.listener)
+	f.listener = -1
+}
+
+func (f *nodeFace) sockaddr() *unix.SockaddrInet4 {
+	return &unix.SockaddrInet4{Port: f.tcpAddr.Port, Addr: [4]byte(f.tcpAddr.IP.To4())}
+}
+
+// backlog is the length of a listener's queue.
+const backlog = 128
+
 // blackhole lets new connects hang: the listener accepts nothing and its queue is full.
 func (f *nodeFace) blackhole() {
-	f.listener.SetDeadline(time.Now())
-	f.setBacklog(0)
+	f.held = true
+	unix.Listen(f.listener, 0)
 	for range 3 { // the queue holds one connection more than its backlog
 		fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 		if err != nil {
 			return
 		}
 		f.fillers = append(f.fillers, fd)
-		unix.Connect(fd, &unix.SockaddrInet4{Port: f.tcpAddr.Port, Addr: [4]byte(f.tcpAddr.IP.To4())})
+		unix.Connect(fd, f.sockaddr())
 	}
 }
 
-// resume lets connects succeed again.
+// resume lets connects succeed again. What is in the queue is reset: what was written there arrived at nobody.
 func (f *nodeFace) resume() {
 	for _, fd := range f.fillers {
 		unix.Close(fd)
 	}
 	f.fillers = nil
-	f.resetQueue()
-	f.setBacklog(128)
-	f.listener.SetDeadline(time.Time{})
-}
-
-// resetQueue resets the connections that came up and were not accepted: what was written on them arrived at nobody.
-func (f *nodeFace) resetQueue() {
-	raw, err := f.listener.SyscallConn()
-	if err != nil {
-		return
-	}
-	raw.Control(func(listener uintptr) {
-		for {
-			fd, _, err := unix.Accept4(int(listener), unix.SOCK_CLOEXEC)
-			if err != nil {
-				return
-			}
-			unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
-			unix.Close(fd)
+	for {
+		fd, _, err := unix.Accept4(f.listener, unix.SOCK_CLOEXEC)
+		if err != nil {
+			break
 		}
-	})
-}
-
-// setBacklog changes the queue length of the listening socket.
-func (f *nodeFace) setBacklog(length int) {
-	raw, err := f.listener.SyscallConn()
-	if err != nil {
-		return
+		unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+		unix.Close(fd)
 	}
-	raw.Control(func(fd uintptr) { unix.Listen(int(fd), length) })
+	unix.Listen(f.listener, backlog)
+	f.held = false
 }
 
 // claim reserves the node for one fault; it returns false if another one has it.
@@ -529,6 +561,7 @@
 				continue
 			}
 			n.world.record(func() {
+				nc.noteEnd(now, "cut")
 				for _, a := range nc.attempts {
 					a.end(now, endFailed)
 				}
--- a/test/faults/rules_test.go
+++ b/test/faults/rules_test.go
@@ -152,8 +152,12 @@
 	if gone > 0 && gone < due || end < due {
 		return
 	}
-	w.broken("session ended at %s at %.3f (cause %d, release written %.3f), released %.3f, due %.3f: %v%s",
-		s.node.name, s.endedAt.Seconds(), s.endCause, s.writtenAt.Seconds(), r.releasedAt.Seconds(), due.Seconds(), r,
+	how := ""
+	if s.writtenOn != nil {
+		how = " on a connection " + s.writtenOn.ended
+	}
+	w.broken("session ended at %s at %.3f (cause %d, release written %.3f%s), released %.3f, due %.3f: %v%s",
+		s.node.name, s.endedAt.Seconds(), s.endCause, s.writtenAt.Seconds(), how, r.releasedAt.Seconds(), due.Seconds(), r,
 		r.life.describe())
 }
 
--- a/test/faults/soak_test.go
+++ b/test/faults/soak_test.go
@@ -55,6 +55,7 @@
 	s.reportNotes = rng.Float64() < 0.8
 	w := newWorld(t, seed, 2+rng.IntN(2), 5+rng.IntN(4), s)
 	w.sessionMs = 1000 + rng.IntN(12000)
+	w.repeats = 0.5 * rng.Float64()
 	k := &soak{world: w, rng: rng}
 	for _, d := range w.directors {
 		d.start()
@@ -103,15 +104,12 @@
 		stopping := 0
 		for _, i := range rng.Perm(len(k.directors))[:1+rng.IntN(2)] {
 			d := k.directors[i]
-			life, running := d.current()
-			if !running {
+			if _, running := d.current(); !running {
 				continue
 			}
 			stopping++
 			for range rng.IntN(3) {
-				if k.now()-life.readyAt > time.Second {
-					d.reload()
-				}
+				d.reload()
 			}
 			if rng.Float64() < 0.25 { // a second request skips the wait for sessions
 				k.after(time.Duration(rng.IntN(3000))*time.Millisecond, func() { d.signal(syscall.SIGTERM) })
@@ -167,7 +165,7 @@
 // troubleDiscovery lets the discovery service fall silent or answer wrongly, with a drain close to its return.
 func (k *soak) troubleDiscovery(rng *rand.Rand) {
 	for k.pause(rng, 2*time.Second) {
-		mode := []discoveryMode{discoverySilent, discoverySilent, discoveryFails, discoveryCut, discoveryOtherID}[rng.IntN(5)]
+		mode := discoveryMode(1 + rng.IntN(int(discoveryModes)-1))
 		k.note("discovery mode %d", mode)
 		for _, d := range k.directors {
 			d.discovery.setMode(mode)
@@ -211,9 +209,7 @@
 	for k.pause(rng, 2*time.Second) {
 		d := k.directors[rng.IntN(len(k.directors))]
 		for range 1 + rng.IntN(4) {
-			if life, running := d.current(); running && k.now()-life.readyAt > time.Second {
-				d.reload()
-			}
+			d.reload()
 			time.Sleep(time.Duration(rng.IntN(120)) * time.Millisecond)
 		}
 	}
--- a/test/faults/viewer_test.go
+++ b/test/faults/viewer_test.go
@@ -24,6 +24,9 @@
 // crossingWindow is the time in which a set-up may cross the end of a resting connection and is sent again.
 const crossingWindow = 50 * time.Millisecond
 
+// maxRepeats limits how often a viewer comes again at once.
+const maxRepeats = 4
+
 // request is one set-up of a viewer.
 type request struct {
 	id       uint64
@@ -31,6 +34,7 @@
 	director *director
 	life     *lifetime
 	wait     time.Duration
+	tries    int // set-ups before it that came again at once
 
 	sentAt        time.Duration // when the last byte was written; 0 if it never was
 	leftAt        time.Duration // when the viewer gave up, or ended the session
@@ -146,11 +150,21 @@
 		if msg.Cause == causeFull || msg.Cause == causeCongested || msg.Cause == causeNeverRan {
 			r.answer = answerRefused
 		}
+		if r.tries < maxRepeats && v.rng.Float64() < w.repeats && !w.quiet.Load() {
+			go v.comeAgain(r)
+		}
 	default:
 		r.extraAnswers = append(r.extraAnswers, fmt.Sprintf("%s, cause %d, at %.3f", msg.Type, msg.Cause, now.Seconds()))
 	}
 }
 
+// comeAgain sends a set-up anew, with a new id, as soon as it was refused or failed.
+func (v *viewerConn) comeAgain(r *request) {
+	again := v.newRequest(r.class, v.world.settings.deadlines[r.class])
+	again.tries = r.tries + 1
+	v.sendRequest(again, false)
+}
+
 // send writes one line in one piece.
 func (v *viewerConn) send(text string) error {
 	v.writing.Lock()
@@ -196,8 +210,9 @@
 
 // newRequest makes a request with a new id.
 func (v *viewerConn) newRequest(class int, wait time.Duration) *request {
-	r := &request{id: v.rng.Uint64() | 1, class: class, director: v.director, life: v.life, wait: wait}
+	r := &request{class: class, director: v.director, life: v.life, wait: wait}
 	v.world.record(func() {
+		r.id = v.rng.Uint64() | 1
 		v.world.requests[r.id] = r
 		v.world.order = append(v.world.order, r)
 	})
@@ -225,7 +240,7 @@
 				return
 			}
 			rest = rest[cut:]
-			time.Sleep(time.Duration(v.rng.IntN(40)) * time.Millisecond)
+			time.Sleep(time.Duration(r.id>>cut%40) * time.Millisecond)
 		}
 	}
 	now := w.now()
--- a/test/faults/world_test.go
+++ b/test/faults/world_test.go
@@ -50,6 +50,7 @@
 	startedAt time.Duration
 	endedAt   time.Duration // 0 while it stands
 	endCause  int
+	writtenOn *nodeConn     // the connection that its release was first written on
 	writtenAt time.Duration // when the node first wrote its release; 0 if never
 	adoptedAt time.Duration // when its viewer named it to a restarted director
 }
@@ -60,9 +61,9 @@
 	}
 }
 
-func (s *session) releaseWritten(now time.Duration) {
+func (s *session) releaseWritten(now time.Duration, nc *nodeConn) {
 	if s.writtenAt == 0 {
-		s.writtenAt = now
+		s.writtenAt, s.writtenOn = now, nc
 	}
 }
 
@@ -76,6 +77,8 @@
 	directorPort = 5080
 	nodePort     = 5100 // and further ones, by director
 	firstNode    = 100  // last byte of the address of the first media node
+
+	firstDiscovery = 200 // last byte of the address of the discovery service
 )
 
 func newNetwork() network { return network{64 + os.Getpid()%128, int(runCount.Add(1)) % 256} }
@@ -92,6 +95,7 @@
 	network   network
 	settings  settings
 	quiet     atomic.Bool // viewers send nothing new
+	repeats   float64     // share of refused and failed set-ups that come again at once
 	sessionMs int         // sessions last 500 ms and up to so much more
 	directors []*director
 	nodes     []*mediaNode
