Platform director: stop and media node connections in files of their own

Moved unchanged: the steps of a stop (stop.go), the connections to media nodes (nodeconn.go). The times of a stop before a kill are a decision and are now in decide/shutdown (KillSchedule), with a test; the values are the same.

--- a/decide/shutdown/shutdown_test.go
+++ b/decide/shutdown/shutdown_test.go
@@ -106,3 +106,16 @@
 		}
 	}
 }
+
+// The times of a stop follow from the earliest kill, also where deadlines are short.
+func TestTimesBeforeAKill(t *testing.T) {
+	for _, c := range []struct{ kill, target, accept, answer float64 }{
+		{3700, 1500, 1500, 3500}, {2500, 1500, 800, 2300}, {1440, 300, 940, 1240}, {1440, 800, 700, 1240},
+	} {
+		got := KillSchedule{EarliestKillMs: c.kill, MarginMs: 200, UnawareMs: 700, MaxAcceptMs: 1500,
+			LongestTargetMs: c.target}.Config()
+		if got != (Config{AcceptMs: c.accept, NoticeMs: c.accept, AnswerMs: c.answer}) {
+			t.Errorf("kill after %v ms, target %v ms: %+v", c.kill, c.target, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/proxy/nodeconn.go
@@ -0,0 +1,218 @@
+package proxy
+
+import (
+	"errors"
+	"math"
+	"slices"
+	"strconv"
+
+	"headmill"
+	"headmill/decide/attempt"
+	"headmill/decide/health"
+	"headmill/internal/loop"
+	"headmill/internal/platform/frame"
+)
+
+// nodeConn is one connection to a media node.
+type nodeConn struct {
+	node           *mediaNode
+	conn           *loop.Conn
+	addr           string // dialled address; the node's address may change later
+	established    bool
+	reader         frame.Reader
+	attempts       map[uint64]*setupAttempt // by protocol id of the session
+	partialSince   float64                  // loop time, ms, since which a message is incomplete
+	probe          bool                     // its coming up or failing is the result of health.OpenStream
+	lastUsed       float64                  // loop time, ms, of the last bytes sent or received
+	lastHeard      float64                  // loop time, ms, at which it came up or last received bytes
+	recentReleases []sentRelease            // oldest first
+	connectTimer   *loop.Timer
+}
+
+// sentRelease is a release that was written to a media node, and the loop time, ms, at which it was first written.
+type sentRelease struct {
+	id          uint64
+	firstSentAt float64
+}
+
+// closeIfMoved closes a connection to an address that the media node has left, if no attempt uses it.
+func (nc *nodeConn) closeIfMoved() {
+	if nc.addr != nc.node.addr && len(nc.attempts) == 0 {
+		nc.node.removeConn(nc)
+		nc.conn.Close(loop.ErrClosedByOwner)
+	}
+}
+
+// usable reports whether something new may be written to the connection.
+func (nc *nodeConn) usable() bool { return nc.established && nc.conn.Open() && nc.addr == nc.node.addr }
+
+// nearIdleTimeout reports whether the media node may be about to close the connection as idle. A set-up that crosses that
+// close is lost, without a proof that it never ran.
+func (nc *nodeConn) nearIdleTimeout() bool {
+	return nc.node.proxy.loop.Now()-nc.lastUsed > nc.node.proxy.cfg.KeepAliveMs-nc.node.proxy.cfg.ConnectMs
+}
+
+// sendRelease ends a session or gives up a set-up on this connection; firstSentAt is when the release was first written.
+// Media nodes confirm nothing, so a release that was written shortly before the connection's end may be lost and is
+// written again. That stops releaseLossWindowMs after the first time, or a media node that resets every connection would
+// be sent it forever.
+func (nc *nodeConn) sendRelease(id uint64, firstSentAt float64) {
+	now := nc.node.proxy.loop.Now()
+	nc.recentReleases = append(slices.DeleteFunc(nc.recentReleases,
+		func(r sentRelease) bool { return now-r.firstSentAt > releaseLossWindowMs }), sentRelease{id, firstSentAt})
+	nc.write(frame.AppendRelease(nil, id, causeNormal))
+}
+
+// write writes a message.
+func (nc *nodeConn) write(msg []byte) {
+	nc.lastUsed = nc.node.proxy.loop.Now()
+	nc.conn.Write(msg)
+}
+
+// Connected implements loop.Handler. It writes the queued messages and the attempts that waited for the connection. If
+// the node was drained or moved meanwhile the attempts are cancelled: no byte has left, so they never ran.
+func (nc *nodeConn) Connected(conn *loop.Conn) {
+	n := nc.node
+	n.proxy.loop.Cancel(nc.connectTimer)
+	nc.established, nc.lastHeard = true, n.proxy.loop.Now()
+	for _, msg := range n.queue {
+		conn.Write(msg)
+	}
+	n.queue = nil
+	n.reportStreamOpened()
+	ready := n.proxy.nodeList.Ready(n.id)
+	for _, a := range nc.attempts {
+		if !ready || nc.addr != n.addr { // draining, or connected to an address that the node has left
+			a.step(attempt.Event{Kind: attempt.Cancelled})
+			continue
+		}
+		a.step(attempt.Event{Kind: attempt.Connected})
+	}
+}
+
+// Flushed implements loop.Handler. It does nothing, since writes are never paused.
+func (nc *nodeConn) Flushed(*loop.Conn) {}
+
+// Data implements loop.Handler. It reads messages.
+func (nc *nodeConn) Data(conn *loop.Conn, data []byte) {
+	p := nc.node.proxy
+	p.queueHealthEvent(health.Event{Kind: health.StreamActivity, Node: health.NodeID(nc.node.id)})
+	nc.lastUsed, nc.lastHeard = p.loop.Now(), p.loop.Now()
+	wasPartial := nc.reader.Partial()
+	err := nc.reader.Feed(data, func(msg *frame.Message) bool {
+		wasPartial = false // an incomplete message after this one is a new one
+		nc.handleMessage(msg)
+		return conn.Open()
+	})
+	if err != nil {
+		nc.closeMalformed(err)
+		return
+	}
+	if nc.reader.Partial() && !wasPartial {
+		nc.partialSince = p.loop.Now()
+	}
+}
+
+var errMalformed = errors.New("proxy: malformed message from a media node")
+
+// closeMalformed closes a connection after malformed input, since the start of the next message is unknown. Its set-ups
+// may have run, and a session whose answer was malformed plays. They are released on another connection, since a reset
+// of this one could lose what is written to it last.
+func (nc *nodeConn) closeMalformed(err error) {
+	p := nc.node.proxy
+	p.stats.Spoilt++
+	p.log.Debug("malformed message from a media node", "host", nc.node.name, "error", err.Error())
+	nc.node.removeConn(nc)
+	nc.conn.Close(errMalformed)
+	for id := range nc.attempts {
+		nc.node.sendRelease(id, p.loop.Now())
+	}
+}
+
+// Closed implements loop.Handler. It reports the close to the attempts on the connection and to the health monitor, and
+// repeats releases that may be lost.
+func (nc *nodeConn) Closed(_ *loop.Conn, err error) {
+	n := nc.node
+	n.proxy.loop.Cancel(nc.connectTimer)
+	n.removeConn(nc)
+	n.proxy.log.Debug("media node connection closed", "host", n.name, "error", err, "established", nc.established,
+		"attempts", len(nc.attempts))
+	if loop.IsConnRefused(err) { // no process runs there, so there is none to send messages to
+		n.queue = nil
+	}
+	if len(n.conns) == 0 || nc.probe && !nc.established {
+		n.proxy.queueHealthEvent(health.Event{Kind: health.StreamFailed, Node: health.NodeID(n.id),
+			ConnRefused: loop.IsConnRefused(err)})
+	} else if nc.established && err != nil && err != loop.ErrClosedByOwner && len(n.sessions) > 0 {
+		// A release that the media node wrote here may be lost. The media node repeats it only on a newly opened
+		// connection. Other connections are open already, so without this dial none might be opened, and the session
+		// would stay in the table for good.
+		n.dial()
+	}
+	for id, a := range nc.attempts {
+		sent := a.machine.State() == attempt.StateSent
+		a.connClosed()
+		if sent && !loop.IsConnRefused(err) { // its answer may be lost, and then no viewer uses the session
+			n.sendRelease(id, n.proxy.loop.Now())
+		}
+	}
+	for _, r := range nc.recentReleases {
+		// ErrClosedByOwner: this side closed with nothing unsent, so the release has arrived.
+		if n.proxy.loop.Now()-r.firstSentAt <= releaseLossWindowMs && err != loop.ErrClosedByOwner {
+			n.sendRelease(r.id, r.firstSentAt)
+		}
+	}
+	nc.recentReleases = nil
+}
+
+// handleMessage carries out one message of a media node.
+func (nc *nodeConn) handleMessage(msg *frame.Message) {
+	p, node := nc.node.proxy, nc.node
+	switch msg.Type {
+	case frame.Answer:
+		if a := nc.attempts[msg.Session]; a != nil {
+			a.handleAnswer(msg.Get(frame.SDP))
+		}
+	case frame.Release:
+		report := p.parseReport(msg.Get(frame.Report))
+		if a := nc.attempts[msg.Session]; a != nil {
+			a.report = report
+			a.handleRelease(msg.Cause())
+		} else if s := node.sessions[msg.Session]; s != nil {
+			outcome := headmill.OutcomeReset
+			cause := int(msg.Cause())
+			switch cause {
+			case causeNormal:
+				outcome = headmill.OutcomeServed
+			case causeCancelled:
+				outcome = headmill.OutcomeCancelled
+			}
+			p.sessionEnded(s, outcome, cause, report)
+		}
+		nc.conn.Write(frame.AppendReleased(nil, msg.Session))
+	case frame.Feedback:
+		nc.handleFeedback(msg)
+	case frame.Ping:
+		out, start := frame.Begin(nil, frame.Pong, msg.Session)
+		nc.conn.Write(frame.End(frame.AppendParameter(out, frame.Cause, []byte{1}), start)) // result: 1
+	}
+}
+
+// feedbackKinds translates the names that media nodes send, which are external.
+var feedbackKinds = map[string]headmill.FeedbackKind{"got": headmill.FeedbackRateShare, "level": headmill.FeedbackRung,
+	"port": headmill.FeedbackLinkLoad, "spine": headmill.FeedbackUplinkLoad}
+
+// handleFeedback passes feedback on a session to the module.
+func (nc *nodeConn) handleFeedback(msg *frame.Message) {
+	s := nc.node.sessions[msg.Session]
+	kind, ok := feedbackKinds[string(msg.Get(frame.FeedbackKind))]
+	value, err := strconv.ParseFloat(string(msg.Get(frame.FeedbackValue)), 64)
+	if !ok || err != nil || math.IsNaN(value) || math.IsInf(value, 0) || s == nil {
+		return
+	}
+	if kind == headmill.FeedbackRung && s.sentRung == rungUnknown {
+		s.sentRung = int(value)
+	}
+	nc.node.proxy.queueEvent(headmill.Event{Kind: headmill.EvFeedback, Session: s.moduleID, Node: nc.node.id,
+		Feedback: kind, FeedbackValue: value})
+}
--- a/internal/platform/proxy/proxy.go
+++ b/internal/platform/proxy/proxy.go
@@ -40,7 +40,6 @@
 	"time"
 
 	"headmill"
-	"headmill/decide/attempt"
 	"headmill/decide/connmgr"
 	"headmill/decide/discovery"
 	"headmill/decide/health"
@@ -84,17 +83,6 @@
 	// releaseRetransmitMs is the time to wait for a confirmation before the release is repeated: a third of the second
 	// within which a viewer must be notified (PROTOCOL, "The rules on sockets").
 	releaseRetransmitMs = 333.0
-	// minAcceptMs and maxAcceptMs bound the time after SIGTERM for which connections and set-ups are still accepted:
-	// viewers can't know of the stop for up to 0.7 s (DAYS, "New configurations and restarts").
-	minAcceptMs = 700.0
-	maxAcceptMs = 1500.0
-	// maxDrainDeadlineMs is the longest class deadline that a stop waits for, and killDelayMs the time beyond it after
-	// which SIGKILL may come (DAYS, "New configurations and restarts").
-	maxDrainDeadlineMs = 3000.0
-	killDelayMs        = 700.0
-	// killMarginMs is the time before the earliest SIGKILL by which all set-ups are answered. It covers a late event loop
-	// and the last writes.
-	killMarginMs = 200.0
 	// maxUsualLagMs is the longest iteration of the event loop that is not logged.
 	maxUsualLagMs = 100.0
 )
@@ -198,23 +186,6 @@
 	return p, nil
 }
 
-// shutdownConfig sets the times of a stop from the earliest moment at which SIGKILL may come. Set-ups are accepted while the
-// time that viewers of every class want at most is left before the last answer, but for as long as viewers can't know of
-// the stop in any case; the listener is open for the same time.
-func shutdownConfig(cfg *Config) shutdown.Config {
-	answer := math.Min(slices.Max(cfg.DeadlineMs), maxDrainDeadlineMs) + killDelayMs - killMarginMs
-	target := 0.0
-	for _, class := range cfg.Module.Classes {
-		target = math.Max(target, class.TargetMs)
-	}
-	accept := math.Max(minAcceptMs, math.Min(maxAcceptMs, answer-target))
-	return shutdown.Config{AcceptMs: accept, NoticeMs: accept, AnswerMs: answer,
-		SessionDrainMs: math.Inf(1),        // no limit: sessions play on until they end or a second stop is requested
-		KeepSessions:   true,               // the next start of this director adopts them
-		EndConfirmMs:   releaseRetentionMs, // for unconfirmed releases, which are kept no longer than that
-	}
-}
-
 // healthConfig sets when a silent media node is probed with a connection, and when its sessions are given up. What
 // decide/health calls the event stream of a media node is any established connection here.
 //
@@ -268,18 +239,6 @@
 // Stats returns the counters.
 func (p *Proxy) Stats() Stats { return p.stats }
 
-// Stop starts a graceful stop; a second call skips the session drain, the wait for sessions that play. It may be called
-// from any goroutine.
-func (p *Proxy) Stop() {
-	p.loop.Post(func() {
-		if p.skipDrain = p.stopRequested; !p.stopRequested {
-			p.stopRequested = true
-			p.loop.After(p.shutdownTimes.AnswerMs, p.stepShutdown) // the sweep may be late for it
-		}
-		p.stepShutdown()
-	})
-}
-
 // Reload applies the address of the discovery service from a configuration that was read again. All other settings stay
 // as they were at the start. It may be called from any goroutine.
 func (p *Proxy) Reload(cfg *Config) {
@@ -439,83 +398,3 @@
 	p.stepRetransmitter(release.Event{Kind: release.Tick})
 	p.stepShutdown()
 }
-
-// stepShutdown advances the stop and carries out its actions.
-func (p *Proxy) stepShutdown() {
-	before := p.shutdown.Phase()
-	status := shutdown.Status{StopRequested: p.stopRequested, SkipDrain: p.skipDrain,
-		PendingRequests: p.pendingSetups, PlayingSessions: len(p.sessions) - p.pendingSetups,
-		UnsentMessages: p.unsentMessages()}
-	for _, action := range p.shutdown.Step(p.loop.Now(), status, nil) {
-		p.applyShutdownAction(action)
-	}
-	if phase := p.shutdown.Phase(); phase != before {
-		p.log.Info("stopping", "phase", phase.String(), "waiting", status.PendingRequests,
-			"playing", status.PlayingSessions, "unsent", status.UnsentMessages)
-	}
-}
-
-// applyShutdownAction carries out a step of a stop.
-func (p *Proxy) applyShutdownAction(action shutdown.Action) {
-	switch action {
-	case shutdown.RefuseNewSessions:
-		// startSession asks p.shutdown for each set-up.
-	case shutdown.CloseListeners:
-		p.listener.StopAccepting()
-	case shutdown.FailPending:
-		for _, s := range p.sessions {
-			if s.state == statePending {
-				p.failSetup(s)
-			}
-		}
-	case shutdown.EndSessions: // not with shutdown.Config.KeepSessions
-	case shutdown.CloseAllConnections:
-		p.closeAll()
-		p.Done()
-	}
-}
-
-// closeAll closes all connections at the end of a stop. What viewers have sent by then is read, and set-ups are refused.
-func (p *Proxy) closeAll() {
-	for _, v := range p.viewers {
-		v.closeIdle()
-	}
-	for _, n := range p.nodes {
-		for _, nc := range n.conns {
-			nc.conn.CloseGracefully()
-		}
-	}
-}
-
-// failSetup answers a set-up that a stop can't wait for any longer. The cause is an error and no refusal, since its
-// attempt may have run.
-func (p *Proxy) failSetup(s *session) {
-	p.stats.Failed++
-	a := s.attempt
-	p.log.Info("set-up failed by the stop", "id", logID(s.id), "class", s.className,
-		"host", s.nodeName(), "ms_left", s.deadline-p.loop.Now())
-	p.queueEvent(headmill.Event{Kind: headmill.EvViewerLeft, Session: s.moduleID})
-	p.rejectSetup(s, causeError, 0)
-	if a != nil {
-		a.step(attempt.Event{Kind: attempt.Cancelled})
-	}
-}
-
-// unsentMessages counts what a stop waits for once all set-ups are answered: connections whose peers have not read what
-// was written, and releases that no viewer has confirmed.
-func (p *Proxy) unsentMessages() int {
-	count := p.retransmitter.Len()
-	for _, v := range p.viewers {
-		if v.conn.Pending() > 0 {
-			count++
-		}
-	}
-	for _, n := range p.nodes {
-		for _, nc := range n.conns {
-			if nc.conn.Pending() > 0 {
-				count++
-			}
-		}
-	}
-	return count
-}
