--- a/cmd/headmill/token.go
+++ b/cmd/headmill/token.go
@@ -112,8 +112,8 @@
 	}
 	text, _ := json.MarshalIndent(map[string]any{"header": parsed.Header, "claims": claims}, "", "  ")
 	fmt.Println(string(text))
-	if left := time.Until(claims.ExpiresAt.Time); claims.ExpiresAt != nil {
-		fmt.Printf("expires in %s\n", left.Round(time.Second))
+	if claims.ExpiresAt != nil {
+		fmt.Printf("expires in %s\n", time.Until(claims.ExpiresAt.Time).Round(time.Second))
 	}
 	if c.Keys == "" {
 		fmt.Println("signature not checked: give --keys")
