Tests of the stop: times that a busy machine keeps

TestStopEndsUnclaimedSessions had 150 ms, TestStopWaitsForTokenChecks 500 ms until the stop went on without what they look at. No check changed; the session drain is 2 s and the time for answers 60 s in them.

--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -779,7 +779,7 @@
 
 // Guards against a shutdown that ends while the token of a request is being verified: the request has no answer yet.
 func TestStopWaitsForTokenChecks(t *testing.T) {
-	env := newTestEnv(t, 1, nil)
+	env := newTestEnv(t, 1, func(s *config.Settings, _ *medianode.Config) { s.Times.SetupDrainMs = 60000 })
 	env.onLoop(func() int { env.director.tokenChecks++; return 0 })
 	env.director.Stop()
 	time.Sleep(time.Duration(2*env.cfg.Times.NoticeMs) * time.Millisecond)
@@ -795,7 +795,9 @@
 // Guards against a session that is left at its media node by a stop: the answer to its set-up comes after the time-out,
 // while the stop waits for other sessions, and no viewer claims it.
 func TestStopEndsUnclaimedSessions(t *testing.T) {
-	env := newTestEnv(t, 1, func(_ *config.Settings, n *medianode.Config) { n.OrphanTimeoutMs = 60000 })
+	env := newTestEnv(t, 1, func(s *config.Settings, n *medianode.Config) {
+		s.Times.SessionDrainMs, n.OrphanTimeoutMs = 2000, 60000
+	})
 	env.wantStatus("plays", env.get("free", env.token("free", "a")), 200)
 	env.nodes[0].SetFaults(medianode.Faults{AnswerDelayMs: 750})
 	out := env.getAsync("paid", env.token("paid", "b"))
