A session whose end comes before its viewer names it after a start is released

Evidence: TestEndBeforeAdoption failed without the change (no release within 10 s) and passes with it.

--- a/decide/release/release_test.go
+++ b/decide/release/release_test.go
@@ -69,3 +69,24 @@
 		}
 	}
 }
+
+// Ends of unknown sessions are remembered for a time, in a bounded number.
+func TestEarlyEnds(t *testing.T) {
+	e := EarlyEnds{RetentionMs: 100, MaxEnds: 2}
+	for session := range SessionID(3) {
+		e.Add(float64(session), session, 40+int(session))
+	}
+	for _, c := range []struct {
+		at      float64 // ms
+		session SessionID
+		cause   int
+	}{{10, 0, 0}, {10, 1, 41}, {10, 1, 0}, {101.9, 2, 42}} {
+		if cause, ok := e.Take(c.at, c.session); cause != c.cause || ok != (c.cause != 0) {
+			t.Errorf("session %d at %v ms: cause %d, %v", c.session, c.at, cause, ok)
+		}
+	}
+	e.Add(200, 7, 41)
+	if _, ok := e.Take(300, 7); ok {
+		t.Error("an end is remembered for too long")
+	}
+}
--- a/internal/platform/proxy/nodeconn.go
+++ b/internal/platform/proxy/nodeconn.go
@@ -9,6 +9,7 @@
 	"headmill"
 	"headmill/decide/attempt"
 	"headmill/decide/health"
+	"headmill/decide/release"
 	"headmill/internal/loop"
 	"headmill/internal/platform/frame"
 )
@@ -188,6 +189,8 @@
 				outcome = headmill.OutcomeCancelled
 			}
 			p.sessionEnded(s, outcome, cause, report)
+		} else {
+			p.earlyEnds.Add(p.loop.Now(), release.SessionID(msg.Session), int(msg.Cause()))
 		}
 		nc.conn.Write(frame.AppendReleased(nil, msg.Session))
 	case frame.Feedback:
--- a/internal/platform/proxy/proxy.go
+++ b/internal/platform/proxy/proxy.go
@@ -83,6 +83,8 @@
 	// releaseRetransmitMs is the time to wait for a confirmation before the release is repeated: a third of the second
 	// within which a viewer must be notified (PROTOCOL, "The rules on sockets").
 	releaseRetransmitMs = 333.0
+	// maxEarlyEnds limits the remembered ends of sessions that viewers have not named.
+	maxEarlyEnds = 512
 	// maxUsualLagMs is the longest iteration of the event loop that is not logged.
 	maxUsualLagMs = 100.0
 )
@@ -139,6 +141,7 @@
 	closeActions       []connmgr.Action
 	quotas             limits.Quotas
 	retransmitter      *release.Retransmitter
+	earlyEnds          release.EarlyEnds
 	nodeConnCount      int // open connections to all media nodes
 	pendingSetups      int // sessions in statePending
 	stopRequested      bool
@@ -178,6 +181,7 @@
 	}
 	p.retransmitter = release.New(release.Config{RetentionMs: releaseRetentionMs, RetransmitMs: releaseRetransmitMs,
 		MaxPending: maxReleases}, p)
+	p.earlyEnds = release.EarlyEnds{RetentionMs: releaseRetentionMs, MaxEnds: maxEarlyEnds}
 	p.discovery.proxy = p
 	if err := eventLoop.SetLocalAddr(cfg.Listen); err != nil {
 		return nil, err
--- a/internal/platform/proxy/race_test.go
+++ b/internal/platform/proxy/race_test.go
@@ -513,3 +513,18 @@
 		}
 	})
 }
+
+// Guards against an adopted session that stands for ever: after a start its media node reports its end on the first
+// connection, which another session has opened, before its viewer names it.
+func TestEndBeforeAdoption(t *testing.T) {
+	h := startHarness(t, 1, nil)
+	v := h.dialViewer()
+	node := h.adoptSession(v, id2)
+	conn := node.anyConn()
+	conn.Write(frame.AppendRelease(nil, 0xa1, causeReset))
+	node.expect(frame.Released)
+	v.sendExistingSession(id1, node.name)
+	if reply := v.receive(); reply.Type != "release" || reply.ID != id1 || reply.Cause != causeReset {
+		t.Fatalf("%+v", reply)
+	}
+}
--- a/internal/platform/proxy/session.go
+++ b/internal/platform/proxy/session.go
@@ -124,6 +124,8 @@
 		p.log.Debug("session plays at a media node that is not listed", "host", r.playingAt)
 		p.notifySessionEnd(v, id, causeReset)
 		return
+	case r.playingAt != "" && p.endedBeforeAdoption(v, id):
+		return
 	case r.playingAt == "" && (v.closing || !p.shutdown.Accepts(p.loop.Now())):
 		p.refuseSetup(v, id, r)
 		return
@@ -153,6 +155,15 @@
 	p.queueEvent(ev)
 }
 
+// endedBeforeAdoption notifies the viewer of a session whose media node has reported its end already.
+func (p *Proxy) endedBeforeAdoption(v *viewer, id uint64) bool {
+	cause, ended := p.earlyEnds.Take(p.loop.Now(), release.SessionID(id))
+	if ended {
+		p.notifySessionEnd(v, id, cause)
+	}
+	return ended
+}
+
 // adoptSession takes over a session that already plays at a media node.
 func (p *Proxy) adoptSession(s *session, node headmill.NodeID, ev headmill.Event) {
 	p.stats.Opened++
