--- a/test/faults/rules_test.go
+++ b/test/faults/rules_test.go
@@ -21,6 +21,7 @@
 	toldLimit         = 1500 * time.Millisecond // a change counts as told so long after it happened
 	toldAfterTrouble  = 6 * time.Second         // and so long after discovery had it and could be reached, after trouble
 	startAfterLeaving = 100 * time.Millisecond  // an attempt may begin so long after its client left
+	leastOpen         = 200 * time.Millisecond  // a connection open for so long is one that a release could be sent on
 	attemptOrderSlack = limitSlack              // two media nodes' records of one director's order
 )
 
@@ -143,6 +144,9 @@
 		due = max(s.endedAt, handed) + releaseLimit + limitSlack
 	}
 	due = max(due, r.answeredAt+limitSlack)
+	if !w.couldBeTold(r, due-releaseLimit-limitSlack, due) {
+		due = max(s.endedAt, handed) + releaseFromEnd + limitSlack
+	}
 	if r.releasedAt > 0 && r.releasedAt <= due {
 		return
 	}
@@ -161,6 +165,14 @@
 		r.life.describe())
 }
 
+// couldBeTold tells whether a viewer had a connection to the process for long enough between two times that a release
+// could be sent on it.
+func (w *world) couldBeTold(r *request, from, to time.Duration) bool {
+	return slices.ContainsFunc(w.conns, func(v *viewerConn) bool {
+		return v.life == r.life && v.openIn(from, to) > leastOpen
+	})
+}
+
 // checkDrain checks that an attempt's media node was not told to be draining or gone.
 func (w *world) checkDrain(a *attemptRecord) {
 	r := w.requests[a.id]
--- a/test/faults/world_test.go
+++ b/test/faults/world_test.go
@@ -103,6 +103,7 @@
 	mu         sync.Mutex
 	seeds      *rand.Rand
 	requests   map[uint64]*request
+	conns      []*viewerConn
 	order      []*request
 	attempts   []*attemptRecord
 	sessions   map[uint64]*session
