--- a/review/standin/chaos.go
+++ b/review/standin/chaos.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"os"
 	"strconv"
 	"strings"
@@ -25,6 +27,9 @@
 }
 
 func chaos(w *world, _ bool) error {
+	if v, err := strconv.Atoi(os.Getenv("SOCKETS")); err == nil {
+		w.p.Sockets = v
+	}
 	seed, _ := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
 	rng := rand.New(rand.NewPCG(seed, 1))
 	kinds := strings.Split(os.Getenv("FAULTS"), ",")
@@ -154,6 +159,35 @@
 		pause(1000, 16000)
 		goOn()
 	})
+	fault("cut", 2000, 4000, func() {
+		n := pick()
+		if !n.running {
+			return
+		}
+		goOn := n.stand()
+		raw, err := n.ln.SyscallConn()
+		if err != nil {
+			return
+		}
+		raw.Control(func(fd uintptr) { syscall.Listen(int(fd), 0) })
+		var fillers []net.Conn
+		for range 4 {
+			c, err := net.DialTimeout("tcp4", n.addr, 30*time.Millisecond)
+			if err != nil {
+				break
+			}
+			fillers = append(fillers, c)
+			w.mu.Lock()
+			n.ownConns[c.LocalAddr().String()] = true
+			w.mu.Unlock()
+		}
+		pause(5000, 9000)
+		for _, c := range fillers {
+			c.Close()
+		}
+		raw.Control(func(fd uintptr) { syscall.Listen(int(fd), 128) })
+		goOn()
+	})
 	fault("late", 500, 2000, func() {
 		n := pick()
 		if !n.running {
@@ -197,8 +231,42 @@
 		if rng.IntN(2) == 0 {
 			vc.conn.(interface{ SetLinger(int) error }).SetLinger(0)
 		}
+		vc.ours = true
 		vc.conn.Close()
 	})
+	fault("rude", 50, 400, func() {
+		var conns []net.Conn
+		for range 60 {
+			c, err := net.DialTimeout("tcp4", w.listen, time.Second)
+			if err != nil {
+				break
+			}
+			conns = append(conns, c)
+			go io.Copy(io.Discard, c)
+		}
+		for i, c := range conns {
+			switch rng.IntN(8) {
+			case 0:
+				fmt.Fprintf(c, "garbage %d\n", i)
+			case 1:
+				c.Write(make([]byte, 100000))
+			case 2:
+				fmt.Fprintf(c, `{"type":"setup","id":"%016x","fields":{"class":"bonus`, rng.Uint64())
+			case 3:
+				for range 40 {
+					fmt.Fprintf(c, `{"type":"setup","id":"%016x","fields":{"class":"nosuch","left":"3000","key":"00","extras":""},"sdp":"x"}`+"\n", rng.Uint64())
+				}
+			case 4:
+				fmt.Fprintf(c, `{"type":"release","id":"%016x","fields":{},"cause":16}`+"\n", rng.Uint64())
+			case 5:
+				fmt.Fprintf(c, `{"type":"ping","id":"1","fields":{},"cause":0}`+"\n")
+			}
+		}
+		pause(100, 3000)
+		for _, c := range conns {
+			c.Close()
+		}
+	})
 	fault("stall", 2300, 3500, func() {
 		w.signal(syscall.SIGSTOP)
 		pause(1200, 2000)
--- a/review/standin/check.go
+++ b/review/standin/check.go
@@ -50,8 +50,10 @@
 			told = n.toldAt
 		}
 		if a.arrived > told+w.p.DrainGraceMs+slackMs {
-			w.other("%s gets set-up %016x %.0f ms after the list changed to draining or gone, %.0f ms after the director counts as told",
+			text := fmt.Sprintf("%s gets set-up %016x %.0f ms after the list changed to draining or gone, %.0f ms after the director counts as told",
 				n.name, r.id, a.arrived-n.leftAt, a.arrived-told)
+			w.drainBreaks = append(w.drainBreaks, text)
+			w.other("%s", text)
 		}
 	}
 	if len(r.attempts) > w.p.MaxAttempts {
--- a/review/standin/viewer.go
+++ b/review/standin/viewer.go
@@ -75,6 +75,7 @@
 	conn    net.Conn
 	wmu     sync.Mutex
 	ended   bool
+	ours    bool // this side ended it
 	pongs   chan bool
 	created time.Time
 	lastUse time.Time
@@ -159,6 +160,9 @@
 		if r.conn == vc && len(r.answers) == 0 && !r.givenUp {
 			r.connLost = true
 			w.logf("viewer: connection ended before the answer to %016x", r.id)
+			if !vc.ours && w.ms() > r.sentAt+slackMs {
+				w.other("the director has closed the connection of %016x, %.0f ms after it was sent, with no answer", r.id, w.ms()-r.sentAt)
+			}
 		}
 	}
 	w.mu.Unlock()
