--- a/review/standin/dns.go
+++ b/review/standin/dns.go
@@ -15,7 +15,8 @@
 	w    *world
 	conn *net.UDPConn
 	mu   sync.Mutex
-	// hook may replace the list of one answer, delay it, or drop it; n counts the queries.
+	// hook may replace the list of one answer, delay it, or drop it; n counts the queries. An answer that is delayed has
+	// the list of the moment at which it is sent.
 	hook func(n int) (list []listEntry, version int, delay time.Duration, drop bool)
 	n    int
 	// sent is called once an answer with a version is sent.
@@ -51,9 +52,8 @@
 		if q.Unpack(buf[:size]) != nil || len(q.Questions) != 1 {
 			continue
 		}
-		s.w.mu.Lock()
-		list, version := append([]listEntry(nil), s.w.list...), s.w.version
-		s.w.mu.Unlock()
+		var list []listEntry
+		version := 0
 		s.mu.Lock()
 		s.n++
 		var delay time.Duration
@@ -70,11 +70,17 @@
 		if drop {
 			continue
 		}
-		answer, err := buildAnswer(q.ID, q.Questions[0], list, version)
-		if err != nil {
-			panic(err)
-		}
+		fixed := list != nil
 		send := func() {
+			if !fixed {
+				s.w.mu.Lock()
+				list, version = append([]listEntry(nil), s.w.list...), s.w.version
+				s.w.mu.Unlock()
+			}
+			answer, err := buildAnswer(q.ID, q.Questions[0], list, version)
+			if err != nil {
+				panic(err)
+			}
 			s.conn.WriteToUDPAddrPort(answer, from)
 			s.w.told(version)
 			s.mu.Lock()
