--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // cases are the cases by name. Each returns an error if it could not run; broken rules go to violations.
@@ -27,12 +30,22 @@
 		fmt.Fprintln(os.Stderr, "the case could not run:", err)
 		os.Exit(2)
 	}
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-ended
+		w.logf("ended by a signal")
+		w.close()
+		os.Exit(2)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	w.logf("case %s, trouble %v", name, trouble)
 	err = cases[name](w, trouble)
 	w.mu.Lock()
 	if err == nil && !w.alive() {
-		w.violation("the director's process has ended")
+		if err = errors.New("the director's process has ended"); w.p.All {
+			w.violation("%v", err)
+		}
 	}
 	found := len(violations)
 	w.mu.Unlock()
--- a/review/standin/nodeproc.go
+++ b/review/standin/nodeproc.go
@@ -293,6 +293,6 @@
 		}
 	case "over":
 		delete(n.sessions, e.ID)
-		r.over, r.overAt, r.overWhy = true, at, e.Why
+		r.over, r.overAt, r.overWhy, r.overNode = true, at, e.Why, n
 	}
 }
--- a/review/standin/viewer.go
+++ b/review/standin/viewer.go
@@ -27,6 +27,7 @@
 	over       bool
 	overAt     float64
 	overWhy    string
+	overNode   *node
 	released   bool
 	releasedAt float64
 	endedByUs  bool
