--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -384,6 +384,15 @@
 	return err == unix.EAGAIN
 }
 
+// LocalAddr returns the address of this side, empty if the connection is closed.
+func (c *Conn) LocalAddr() string {
+	addr, err := unix.Getsockname(c.fd)
+	if err != nil {
+		return ""
+	}
+	return formatAddr(addr)
+}
+
 // Established reports whether the kernel has established a dialled connection; the loop may not have handled that
 // event yet.
 func (c *Conn) Established() bool {
--- a/internal/platform/proxy/nodeconn.go
+++ b/internal/platform/proxy/nodeconn.go
@@ -19,6 +19,7 @@
 	node           *mediaNode
 	conn           *loop.Conn
 	addr           string // dialled address; the node's address may change later
+	localAddr      string // of the established connection, for the log
 	established    bool
 	reader         frame.Reader
 	attempts       map[uint64]*setupAttempt // by protocol id of the session
@@ -76,6 +77,9 @@
 	n := nc.node
 	n.proxy.loop.Cancel(nc.connectTimer)
 	nc.established, nc.lastHeard = true, n.proxy.loop.Now()
+	nc.localAddr = conn.LocalAddr()
+	n.proxy.log.Debug("media node connection established", "host", n.name, "local", nc.localAddr, "probe", nc.probe,
+		"conns", len(n.conns), "sessions", len(n.sessions))
 	for _, msg := range n.queue {
 		conn.Write(msg)
 	}
@@ -137,7 +141,7 @@
 	n.proxy.loop.Cancel(nc.connectTimer)
 	n.removeConn(nc)
 	n.proxy.log.Debug("media node connection closed", "host", n.name, "error", err, "established", nc.established,
-		"attempts", len(nc.attempts))
+		"attempts", len(nc.attempts), "local", nc.localAddr, "sessions", len(n.sessions))
 	if loop.IsConnRefused(err) { // no process runs there, so there is none to send messages to
 		n.queue = nil
 	}
--- a/internal/platform/proxy/proxy.go
+++ b/internal/platform/proxy/proxy.go
@@ -292,6 +292,10 @@
 // applyNodeList validates a node list, passes it to the module and moves media nodes whose address has changed.
 func (p *Proxy) applyNodeList(list *discovery.Message) error {
 	ev, verdict, err := p.nodeList.Apply(p.now(), list)
+	if verdict != discovery.Stale || list.Version != p.nodeList.Version() { // most answers repeat the list in force
+		p.log.Debug("node list received", "version", list.Version, "verdict", verdict.String(), "nodes", len(list.Entries),
+			"in_force", p.nodeList.Version())
+	}
 	if verdict == discovery.Accepted || len(ev.Nodes) > 0 {
 		p.queueEvent(ev)
 	}
