No connection to a silent media node with sessions is closed: it may only stand still

Cause: decide/health had a silent stream closed and opened again, every 4 s. The kernel takes connections for a stopped process, so the process found a row of closed ones when it went on, and wrote its releases there: on the connection of the set-up and on the next one it accepted.

Change: a used stream that is silent is not closed, a further one is opened beside it; nothing new is sent on connections that were not heard since; their number is bounded. Related: a connection that its media node closes within a release, a fetch that could not be dialled, a release to a media node that was silent since, an address that was left.

--- a/decide/health/health.go
+++ b/decide/health/health.go
@@ -13,7 +13,7 @@
 //	idle     no session there; no stream is kept
 //	opening  the stream was requested
 //	up       the stream is open; every byte counts as contact with the media node
-//	broken   the stream ended or went silent; sessions are kept while it is retried
+//	broken   the stream ended or could not be opened; sessions are kept while it is retried
 //	down     no contact for NodeTimeoutMs, or refusalsUntilDown connections refused in a row; its sessions were given
 //	         up. The external name of this state is "lost".
 //
@@ -30,9 +30,9 @@
 //	StreamActivity  opening, up, broken: counts as contact; else ignored
 //	StreamFailed    opening, up: schedules a retry with exponential backoff (to broken, or to idle if unused); else
 //	                ignored
-//	Tick            opening: after OpenTimeoutMs closes the stream (to broken, or to idle if unused)
-//	                up: after StreamTimeoutMs of silence closes the stream (to broken, or to idle if unused); after
-//	                IdleTimeoutMs without use closes it (to idle)
+//	Tick            opening: after OpenTimeoutMs cancels the opening (to broken, or to idle if unused)
+//	                up: after StreamTimeoutMs of silence opens a further stream (to opening), or closes it if unused (to
+//	                idle); after IdleTimeoutMs without use closes it (to idle)
 //	                opening, broken: if the media node has sessions and there was no contact for NodeTimeoutMs, or
 //	                refusalsUntilDown connections were refused in a row, gives its sessions up (to down)
 //	                broken: when the retry is due, opens the stream again (to opening), or to idle if unused
@@ -41,6 +41,9 @@
 //
 // A set-up is pending from SetupSent on; SessionStarted makes it a session, and SessionEnded removes it in either case.
 // A media node is unused while it has neither sessions nor pending set-ups.
+//
+// A silent stream is not closed while it is used. Its media node may stand still, and write what it owes on this very
+// stream once it goes on: what it writes to a closed one is lost for good.
 package health
 
 import (
@@ -85,8 +88,9 @@
 
 // The kinds of actions.
 const (
-	OpenStream  ActionKind = iota // Node: open its event stream
-	CloseStream                   // Node: close it
+	OpenStream  ActionKind = iota // Node: open its event stream, a further one if one is open
+	CancelOpen                    // Node: give up the stream that is being opened; an open one stays
+	CloseStream                   // Node: close it, as it is unused
 	SessionLost                   // Node, Session: the session is lost
 	EndOrphan                     // Node, Session: end a session that runs for this director, which does not know it
 	NodeDown                      // Node, Count: for the log; the number of sessions that are given up
@@ -304,14 +308,15 @@
 		switch node.state {
 		case StateOpening:
 			if m.now-node.openedAt > m.cfg.OpenTimeoutMs {
-				m.out = append(m.out, Action{Kind: CloseStream, Node: node.id})
+				m.out = append(m.out, Action{Kind: CancelOpen, Node: node.id})
 				m.streamFailed(node)
 			}
 		case StateUp:
-			if m.now-node.lastContactAt > m.cfg.StreamTimeoutMs {
-				m.out = append(m.out, Action{Kind: CloseStream, Node: node.id})
-				m.streamFailed(node)
-			} else if node.unused() && m.now-node.unusedSince > m.cfg.IdleTimeoutMs {
+			silent := m.now-node.lastContactAt > m.cfg.StreamTimeoutMs
+			switch {
+			case silent && !node.unused():
+				m.openStream(node)
+			case silent, node.unused() && m.now-node.unusedSince > m.cfg.IdleTimeoutMs:
 				m.out = append(m.out, Action{Kind: CloseStream, Node: node.id})
 				node.state = StateIdle
 			}
@@ -323,7 +328,7 @@
 				m.loseSession(node, session)
 			}
 			if node.state == StateOpening {
-				m.out = append(m.out, Action{Kind: CloseStream, Node: node.id})
+				m.out = append(m.out, Action{Kind: CancelOpen, Node: node.id})
 			}
 			node.state = StateDown
 		}
--- a/internal/director/session.go
+++ b/internal/director/session.go
@@ -238,7 +238,7 @@
 	switch a.Kind {
 	case health.OpenStream:
 		node.openEventStream()
-	case health.CloseStream:
+	case health.CancelOpen, health.CloseStream: // a media node has one event stream at most
 		node.closeEventStream()
 	case health.NodeDown:
 		node.commands.dropRungChanges()
--- a/internal/platform/proxy/medianode.go
+++ b/internal/platform/proxy/medianode.go
@@ -11,9 +11,12 @@
 )
 
 const (
-	// maxConnsPerNode limits the connections to one media node. Below it each connection carries one set-up, so that a
-	// malformed answer affects no other; at the limit set-ups share connections.
+	// maxConnsPerNode limits the connections for set-ups to one media node. Below it each connection carries one set-up,
+	// so that a malformed answer affects no other; at the limit set-ups share connections.
 	maxConnsPerNode = 8
+	// maxSilentConnsPerNode limits the further connections to a media node that is silent: those that were open before,
+	// and one for each time that it was found silent.
+	maxSilentConnsPerNode = 12
 	// partialMessageTimeoutMs is the time to wait for the rest of a message, which has at most 16 KiB (PROTOCOL,
 	// "Messages").
 	partialMessageTimeoutMs = 300.0
@@ -43,6 +46,11 @@
 	queue       [][]byte            // messages about sessions, kept until a connection is established
 	queuedSince float64             // loop time, ms, of the first message in queue
 	lastUsed    float64             // loop time, ms
+	silentSince float64             // loop time, ms, at which it was last found silent; see nodeConn.proven
+	// needsNewConn tells that a release may have been lost with a connection. The media node repeats it on the next one
+	// that is opened, and on no other.
+	needsNewConn bool
+	dialedAt     float64 // loop time, ms, of the last dial
 }
 
 // mediaNode returns the state of a media node, and creates it where there is none.
@@ -57,25 +65,70 @@
 	return n
 }
 
-// dial opens a connection. It returns nil at a connection limit, on an error, or if another media node now has the
-// address.
+// dial opens a connection for a set-up or a message. It returns nil at a connection limit, on an error, or if another
+// media node now has the address.
 func (n *mediaNode) dial() *nodeConn {
+	silent := 0
+	for _, nc := range n.conns {
+		if nc.established && !nc.proven() {
+			silent++
+		}
+	}
 	// A third of the file descriptors is for connections to media nodes; see New.
-	if len(n.conns) >= maxConnsPerNode || n.proxy.nodeConnCount >= n.proxy.cfg.Sockets/3 {
+	if len(n.conns)-silent >= maxConnsPerNode || len(n.conns) >= maxConnsPerNode+maxSilentConnsPerNode ||
+		n.proxy.nodeConnCount >= n.proxy.cfg.Sockets/3 {
 		return nil
 	}
 	return n.dialBeyondLimits()
 }
 
-// dialProbe opens a connection to find out whether the media node is alive. One above its limit is allowed to each media
-// node, so that set-ups in progress can't prevent that, and a thirty-second of the file descriptors above the limit of all.
+// dialProbe opens a connection to find out whether the media node is alive, or for the releases that it repeats on a new
+// one. Set-ups can't prevent that: the limits are those of dial and one more, and a thirty-second of the file descriptors
+// above the limit of all. At a limit another connection makes room.
 func (n *mediaNode) dialProbe() *nodeConn {
-	if len(n.conns) > maxConnsPerNode || n.proxy.nodeConnCount >= n.proxy.cfg.Sockets/3+n.proxy.cfg.Sockets/32 {
+	if len(n.conns) > maxConnsPerNode+maxSilentConnsPerNode {
+		n.closeUnansweredConn()
+	}
+	if n.proxy.nodeConnCount >= n.proxy.cfg.Sockets/3+n.proxy.cfg.Sockets/32 && !n.proxy.closeUnusedNodeConn() {
+		n.closeUnansweredConn()
+	}
+	if len(n.conns) > maxConnsPerNode+maxSilentConnsPerNode ||
+		n.proxy.nodeConnCount >= n.proxy.cfg.Sockets/3+n.proxy.cfg.Sockets/32 {
 		return nil
 	}
 	return n.dialBeyondLimits()
 }
 
+// closeUnansweredConn closes the oldest connection on which the media node has never written anything: the one whose loss
+// is least likely to cost a release.
+func (n *mediaNode) closeUnansweredConn() {
+	for _, nc := range n.conns {
+		if nc.established && !nc.heard && len(nc.attempts) == 0 {
+			n.removeConn(nc)
+			nc.conn.Close(loop.ErrClosedByOwner)
+			return
+		}
+	}
+}
+
+// closeUnusedNodeConn closes a connection to any media node that has no session of this director. It reports whether there
+// was one.
+func (p *Proxy) closeUnusedNodeConn() bool {
+	for _, n := range p.nodes {
+		if len(n.sessions) > 0 {
+			continue
+		}
+		for _, nc := range n.conns {
+			if nc.established && len(nc.attempts) == 0 && nc.conn.Pending() == 0 {
+				n.removeConn(nc)
+				nc.conn.Close(loop.ErrClosedByOwner)
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // dialBeyondLimits opens a connection whatever the number of those that are open.
 func (n *mediaNode) dialBeyondLimits() *nodeConn {
 	if n.addrReassigned() {
@@ -87,7 +140,7 @@
 		n.proxy.log.Error("cannot dial media node", "host", n.name, "error", err.Error())
 		return nil
 	}
-	nc.conn = conn
+	nc.conn, n.dialedAt = conn, n.proxy.loop.Now()
 	conn.SetOutputLimit(maxNodeOutput)
 	n.conns = append(n.conns, nc)
 	n.proxy.nodeConnCount++
@@ -121,24 +174,38 @@
 // idleConn returns a connection that carries no set-up, so that a malformed answer to the new one affects no other.
 func (n *mediaNode) idleConn() *nodeConn {
 	for _, nc := range n.conns {
-		if nc.usable() && len(nc.attempts) == 0 && !nc.reader.Partial() && !nc.nearIdleTimeout() && nc.conn.Reusable() {
+		if nc.usable() && nc.proven() && len(nc.attempts) == 0 && !nc.reader.Partial() && !nc.nearIdleTimeout() && nc.conn.Reusable() {
 			return nc
 		}
 	}
 	return nil
 }
 
-// leastLoadedConn returns the connection with the fewest set-ups, for use when no further one may be opened.
+// leastLoadedConn returns the proven connection with the fewest set-ups, for use when no further one may be opened.
 func (n *mediaNode) leastLoadedConn() *nodeConn {
 	var best *nodeConn
 	for _, nc := range n.conns {
-		if nc.usable() && (best == nil || len(nc.attempts) < len(best.attempts)) {
+		if nc.usable() && nc.proven() && (best == nil || len(nc.attempts) < len(best.attempts)) {
 			best = nc
 		}
 	}
 	return best
 }
 
+// messageConn returns the connection for a message about a session: a silent one only if there is no other, as a media
+// node that stands still reads it once it goes on.
+func (n *mediaNode) messageConn() *nodeConn {
+	if best := n.leastLoadedConn(); best != nil {
+		return best
+	}
+	for _, nc := range n.conns {
+		if nc.usable() {
+			return nc
+		}
+	}
+	return nil
+}
+
 // ensureConn opens a connection unless the node was heard in this iteration or one is being opened, and reports the result
 // to the health monitor as that of its event stream. That a connection was established earlier proves nothing now. A node
 // whose address has been reassigned counts as one that refused the connection.
@@ -148,6 +215,9 @@
 		n.reportStreamOpened()
 		return
 	}
+	n.silentSince = now
+	n.proxy.log.Debug("media node is probed with a connection", "host", n.name, "conns", len(n.conns),
+		"sessions", len(n.sessions))
 	for _, nc := range n.conns {
 		if !nc.established && nc.addr == n.addr {
 			nc.probe = true
@@ -162,6 +232,36 @@
 		ConnRefused: n.addrReassigned()})
 }
 
+// cancelProbe gives up the connections that are being opened for the health monitor alone.
+func (n *mediaNode) cancelProbe() {
+	for _, nc := range slices.Clone(n.conns) {
+		if nc.established || !nc.probe {
+			continue
+		}
+		if nc.probe = false; len(nc.attempts) == 0 {
+			nc.conn.Close(loop.ErrConnectFailed)
+		}
+	}
+}
+
+// fetchReleases opens a connection, now or as soon as that is possible, on which the media node repeats releases that may
+// have been lost.
+func (n *mediaNode) fetchReleases() {
+	n.needsNewConn = true
+	n.dialProbe()
+}
+
+// retryFetch opens the connection that fetchReleases could not, while there is a session whose release may come on it.
+func (n *mediaNode) retryFetch(now float64) {
+	switch {
+	case !n.needsNewConn:
+	case len(n.sessions) == 0:
+		n.needsNewConn = false
+	case now-n.dialedAt > 2*n.proxy.cfg.ConnectMs:
+		n.dialProbe()
+	}
+}
+
 // reportStreamOpened reports an established connection to the health monitor.
 func (n *mediaNode) reportStreamOpened() {
 	n.proxy.queueHealthEvent(health.Event{Kind: health.StreamOpened, Node: health.NodeID(n.id), Sessions: n.sessionIDs()})
@@ -196,7 +296,7 @@
 
 // sendRelease ends a session at the media node, on any established connection or on the next one.
 func (n *mediaNode) sendRelease(id uint64, firstSentAt float64) {
-	if nc := n.leastLoadedConn(); nc != nil {
+	if nc := n.messageConn(); nc != nil {
 		nc.sendRelease(id, firstSentAt)
 		return
 	}
@@ -205,7 +305,7 @@
 
 // sendMessage writes a message about a session, on any established connection or on the next one.
 func (n *mediaNode) sendMessage(msg []byte) {
-	if nc := n.leastLoadedConn(); nc != nil {
+	if nc := n.messageConn(); nc != nil {
 		nc.write(msg)
 		return
 	}
@@ -237,12 +337,13 @@
 		if nc.reader.Partial() && now-nc.partialSince > partialMessageTimeoutMs {
 			nc.closeMalformed(errors.New("timeout while waiting for the rest of a message"))
 		} else if nc.established && len(nc.attempts)+len(n.sessions) == 0 &&
-			nc.conn.Pending() == 0 && nc.nearIdleTimeout() {
+			nc.conn.Pending() == 0 && (nc.nearIdleTimeout() || nc.addr != n.addr) {
 			n.removeConn(nc)
 			nc.conn.Close(loop.ErrClosedByOwner)
 		}
 	}
 	n.dialForQueue()
+	n.retryFetch(now)
 	removed := !n.proxy.nodeList.Listed(n.id)
 	if removed && len(n.sessions) == 0 {
 		n.closeUnusedConns()
--- a/internal/platform/proxy/nodeconn.go
+++ b/internal/platform/proxy/nodeconn.go
@@ -27,6 +27,7 @@
 	probe          bool                     // its coming up or failing is the result of health.OpenStream
 	lastUsed       float64                  // loop time, ms, of the last bytes sent or received
 	lastHeard      float64                  // loop time, ms, at which it came up or last received bytes
+	heard          bool                     // bytes were received
 	recentReleases []sentRelease            // oldest first
 	connectTimer   *loop.Timer
 }
@@ -37,9 +38,10 @@
 	firstSentAt float64
 }
 
-// closeIfMoved closes a connection to an address that the media node has left, if no attempt uses it.
+// closeIfMoved closes a connection to an address that the media node has left, if no attempt uses it and no session may end
+// on it.
 func (nc *nodeConn) closeIfMoved() {
-	if nc.addr != nc.node.addr && len(nc.attempts) == 0 {
+	if nc.addr != nc.node.addr && len(nc.attempts)+len(nc.node.sessions) == 0 {
 		nc.node.removeConn(nc)
 		nc.conn.Close(loop.ErrClosedByOwner)
 	}
@@ -48,6 +50,10 @@
 // usable reports whether something new may be written to the connection.
 func (nc *nodeConn) usable() bool { return nc.established && nc.conn.Open() && nc.addr == nc.node.addr }
 
+// proven reports whether the connection came up, or received bytes, since the media node was last found silent. Nothing new
+// is sent on another one, as the media node may have vanished.
+func (nc *nodeConn) proven() bool { return nc.lastHeard >= nc.node.silentSince }
+
 // nearIdleTimeout reports whether the media node may be about to close the connection as idle. A set-up that crosses that
 // close is lost, without a proof that it never ran.
 func (nc *nodeConn) nearIdleTimeout() bool {
@@ -61,10 +67,20 @@
 func (nc *nodeConn) sendRelease(id uint64, firstSentAt float64) {
 	now := nc.node.proxy.loop.Now()
 	nc.recentReleases = append(slices.DeleteFunc(nc.recentReleases,
-		func(r sentRelease) bool { return now-r.firstSentAt > releaseLossWindowMs }), sentRelease{id, firstSentAt})
+		func(r sentRelease) bool { return !nc.mayBeLost(r, now) }), sentRelease{id, firstSentAt})
+	if len(nc.recentReleases) > maxQueuedMessages {
+		nc.recentReleases = slices.Delete(nc.recentReleases, 0, 1)
+	}
 	nc.write(frame.AppendRelease(nil, id, causeNormal))
 }
 
+// mayBeLost reports whether a release is lost if the connection breaks now. After releaseLossWindowMs the media node has
+// read it, unless it has been silent since.
+func (nc *nodeConn) mayBeLost(r sentRelease, now float64) bool {
+	age := now - r.firstSentAt
+	return age <= releaseLossWindowMs || nc.lastHeard < r.firstSentAt && age <= queueTTLMs
+}
+
 // write writes a message.
 func (nc *nodeConn) write(msg []byte) {
 	nc.lastUsed = nc.node.proxy.loop.Now()
@@ -76,6 +92,7 @@
 func (nc *nodeConn) Connected(conn *loop.Conn) {
 	n := nc.node
 	n.proxy.loop.Cancel(nc.connectTimer)
+	n.needsNewConn = false
 	nc.established, nc.lastHeard = true, n.proxy.loop.Now()
 	nc.localAddr = conn.LocalAddr()
 	n.proxy.log.Debug("media node connection established", "host", n.name, "local", nc.localAddr, "probe", nc.probe,
@@ -102,7 +119,7 @@
 func (nc *nodeConn) Data(conn *loop.Conn, data []byte) {
 	p := nc.node.proxy
 	p.queueHealthEvent(health.Event{Kind: health.StreamActivity, Node: health.NodeID(nc.node.id)})
-	nc.lastUsed, nc.lastHeard = p.loop.Now(), p.loop.Now()
+	nc.lastUsed, nc.lastHeard, nc.heard = p.loop.Now(), p.loop.Now(), true
 	wasPartial := nc.reader.Partial()
 	err := nc.reader.Feed(data, func(msg *frame.Message) bool {
 		wasPartial = false // an incomplete message after this one is a new one
@@ -148,11 +165,10 @@
 	if len(n.conns) == 0 || nc.probe && !nc.established {
 		n.proxy.queueHealthEvent(health.Event{Kind: health.StreamFailed, Node: health.NodeID(n.id),
 			ConnRefused: loop.IsConnRefused(err)})
-	} else if nc.established && err != nil && err != loop.ErrClosedByOwner && len(n.sessions) > 0 {
-		// A release that the media node wrote here may be lost. The media node repeats it only on a newly opened
-		// connection. Other connections are open already, so without this dial none might be opened, and the session
-		// would stay in the table for good.
-		n.dial()
+	} else if nc.established && err != loop.ErrClosedByOwner && (err != nil || nc.reader.Partial()) && len(n.sessions) > 0 {
+		// A release that the media node wrote here may be lost. Other connections are open already, so without this one
+		// none might be opened, and the session would stay in the table for good.
+		n.fetchReleases()
 	}
 	for id, a := range nc.attempts {
 		sent := a.machine.State() == attempt.StateSent
@@ -162,8 +178,11 @@
 		}
 	}
 	for _, r := range nc.recentReleases {
-		// ErrClosedByOwner: this side closed with nothing unsent, so the release has arrived.
-		if n.proxy.loop.Now()-r.firstSentAt <= releaseLossWindowMs && err != loop.ErrClosedByOwner {
+		age := n.proxy.loop.Now() - r.firstSentAt
+		switch {
+		case err == loop.ErrClosedByOwner: // this side closed with nothing unsent, so the release has arrived
+		case err == nil && age > releaseLossWindowMs: // in an orderly close the media node has read all
+		case nc.mayBeLost(r, n.proxy.loop.Now()):
 			n.sendRelease(r.id, r.firstSentAt)
 		}
 	}
--- a/internal/platform/proxy/proxy.go
+++ b/internal/platform/proxy/proxy.go
@@ -356,8 +356,10 @@
 	switch action.Kind {
 	case health.OpenStream:
 		n.ensureConn()
+	case health.CancelOpen:
+		n.cancelProbe()
 	case health.CloseStream:
-		p.log.Debug("media node is silent or unused", "host", n.name, "conns", len(n.conns), "sessions", len(n.sessions))
+		p.log.Debug("media node is unused", "host", n.name, "conns", len(n.conns), "sessions", len(n.sessions))
 		n.closeUnusedConns()
 	case health.SessionLost, health.EndOrphan:
 		// EndOrphan can only name one of this director's own sessions (see sessionIDs), one that the health monitor does
--- a/test/faults/world_test.go
+++ b/test/faults/world_test.go
@@ -4,9 +4,11 @@
 package faults
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -236,6 +238,19 @@
 	return nil
 }
 
+// busiestNode returns the media node with the most sessions.
+func (w *world) busiestNode() *mediaNode {
+	count := map[*mediaNode]int{}
+	w.record(func() {
+		for _, s := range w.sessions {
+			if s.endedAt == 0 {
+				count[s.node]++
+			}
+		}
+	})
+	return slices.MaxFunc(w.nodes, func(a, b *mediaNode) int { return cmp.Compare(count[a], count[b]) })
+}
+
 func (w *world) stillStands(s *session) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
