Sessions of a silent media node are kept for 7 s, and ended there when given up

Cause: silence was limited to 4 s whatever the report interval is, and two connects that took over 250 ms then decided. The verdict went to the viewers alone.

Change: sessions are given up after 7 s without contact, the protocol's 8 s less 1 s for the releases; probes may come up late by 1 s, twice in a row. What was given up after silence is remembered by decide/health, ended at the media node once that is reached again (tried for 30 s), and holds its seat until then. Refused connects count only with no connection open. The HTTP front holds seats and reservations alike.

--- a/api.go
+++ b/api.go
@@ -79,6 +79,9 @@
 	MaxPerTitle    int       // session cap for one title at a front; 0 = none
 }
 
+// Capped tells whether sessions of the class count against a cap. One that may still play must then go on counting.
+func (c *Class) Capped() bool { return c.MaxPerTitle > 0 }
+
 // Config is the configuration of a front. A zero is a value like any other, except where a field says otherwise.
 type Config struct {
 	FrontIndex          int       // index of this front
--- a/decide/health/health.go
+++ b/decide/health/health.go
@@ -17,6 +17,10 @@
 //	down     no contact for NodeTimeoutMs, or refusalsUntilDown connections refused in a row; its sessions were given
 //	         up. The external name of this state is "lost".
 //
+// A session that was given up after silence may still play: the media node may have been cut off or stood still. It is
+// lost to its viewer, but holds what it uses there, until the media node is reached and can be told to end it, refuses
+// connections, reports the end, or LostRetentionMs have passed. LostSessionGone tells that moment.
+//
 // Contact is what was observed of the media node at that moment: bytes received, or a connection that came up. A
 // connection that was open before and a session that is only said to play there are none.
 //
@@ -26,8 +30,12 @@
 //	SessionStarted  idle, down: opens the stream (to opening); in every state it counts as contact
 //	SessionAdopted  as SessionStarted, but is no contact
 //	SessionEnded    removes the session or its set-up; without any left the media node is unused
-//	StreamOpened    opening: compares the sessions, reports lost ones and orphans (to up); else ignored
-//	StreamActivity  opening, up, broken: counts as contact; else ignored
+//	LostSessionEnded
+//	                removes a session that was given up
+//	StreamOpened    opening, broken, and down with given-up sessions: compares the sessions where the stream lists them,
+//	                reports lost ones and orphans, ends the given-up ones (to up); else ignored
+//	StreamActivity  opening, up, broken: counts as contact; else ignored. In any state, unless the stream lists sessions,
+//	                ends the given-up ones
 //	StreamFailed    opening, up: schedules a retry with exponential backoff (to broken, or to idle if unused); else
 //	                ignored
 //	Tick            opening: after OpenTimeoutMs cancels the opening (to broken, or to idle if unused)
@@ -36,11 +44,12 @@
 //	                opening, broken: if the media node has sessions and there was no contact for NodeTimeoutMs, or
 //	                refusalsUntilDown connections were refused in a row, gives its sessions up (to down)
 //	                broken: when the retry is due, opens the stream again (to opening), or to idle if unused
-//	                down: opens the stream if a set-up is pending (to opening)
+//	                down: opens the stream if a set-up is pending or a session was given up after silence (to opening)
+//	                any: reports given-up sessions as gone after LostRetentionMs
 //	                idle, down: forgets a media node that has been unused for 10 IdleTimeoutMs
 //
 // A set-up is pending from SetupSent on; SessionStarted makes it a session, and SessionEnded removes it in either case.
-// A media node is unused while it has neither sessions nor pending set-ups.
+// A media node is unused while it has neither sessions, also given-up ones, nor pending set-ups.
 //
 // A silent stream is not closed while it is used. Its media node may stand still, and write what it owes on this very
 // stream once it goes on: what it writes to a closed one is lost for good.
@@ -63,14 +72,15 @@
 
 // The kinds of events.
 const (
-	SetupSent      EventKind = iota // Node, Session: a set-up is sent there
-	SessionStarted                  // Node, Session: the media node has just answered that it plays there
-	SessionAdopted                  // Node, Session: it plays there, by an earlier answer or a viewer's word
-	SessionEnded                    // Node, Session: it ended, or its set-up failed
-	StreamOpened                    // Node, BootID, Sessions: the stream has just come up; what the node runs for this director
-	StreamActivity                  // Node: bytes from it
-	StreamFailed                    // Node, ConnRefused: the stream ended, or could not be opened
-	Tick                            // only time passes
+	SetupSent        EventKind = iota // Node, Session: a set-up is sent there
+	SessionStarted                    // Node, Session: the media node has just answered that it plays there
+	SessionAdopted                    // Node, Session: it plays there, by an earlier answer or a viewer's word
+	SessionEnded                      // Node, Session: it ended, or its set-up failed
+	LostSessionEnded                  // Node, Session: the media node has reported the end of a session that was given up
+	StreamOpened                      // Node, BootID, Sessions (with Config.StreamListsSessions): the stream has just come up
+	StreamActivity                    // Node: bytes from it
+	StreamFailed                      // Node, ConnRefused: the stream ended, or could not be opened
+	Tick                              // only time passes
 )
 
 // Event is one fact.
@@ -78,9 +88,9 @@
 	Kind        EventKind
 	Node        NodeID
 	Session     SessionID
-	BootID      string // of the process that opened the stream; kept, but not used for a decision
-	Sessions    []SessionID
-	ConnRefused bool // the host of the media node answered that nothing listens there
+	BootID      string      // of the process that opened the stream; kept, but not used for a decision
+	Sessions    []SessionID // what the media node runs for this director
+	ConnRefused bool        // the host of the media node answered that nothing listens there
 }
 
 // ActionKind tells which fields of an Action are set.
@@ -88,12 +98,13 @@
 
 // The kinds of actions.
 const (
-	OpenStream  ActionKind = iota // Node: open its event stream, a further one if one is open
-	CancelOpen                    // Node: give up the stream that is being opened; an open one stays
-	CloseStream                   // Node: close it, as it is unused
-	SessionLost                   // Node, Session: the session is lost
-	EndOrphan                     // Node, Session: end a session that runs for this director, which does not know it
-	NodeDown                      // Node, Count: for the log; the number of sessions that are given up
+	OpenStream      ActionKind = iota // Node: open its event stream, a further one if one is open
+	CancelOpen                        // Node: give up the stream that is being opened; an open one stays
+	CloseStream                       // Node: close it, as it is unused
+	SessionLost                       // Node, Session, MayPlay: the session is lost to its viewer
+	LostSessionGone                   // Node, Session: a session that was lost and might play does no longer
+	EndOrphan                         // Node, Session: tell the media node to end a session that this director does not hold
+	NodeDown                          // Node, Count: for the log; the number of sessions that are given up
 )
 
 // Action is one thing to do.
@@ -102,6 +113,7 @@
 	Node    NodeID
 	Session SessionID
 	Count   int
+	MayPlay bool // it may still play; LostSessionGone follows when it does not
 }
 
 // Config has the timeouts, in ms.
@@ -112,6 +124,9 @@
 	MaxRetryMs      float64
 	IdleTimeoutMs   float64 // a stream without sessions is closed after so long
 	OpenTimeoutMs   float64 // a stream that is not open after so long counts as broken
+	LostRetentionMs float64 // a session that was given up after silence is taken to have ended after so long
+	// StreamListsSessions says that StreamOpened has the sessions that the media node runs.
+	StreamListsSessions bool
 }
 
 // State is the state of a media node.
@@ -138,6 +153,7 @@
 	bootID              string
 	pendingSetups       map[SessionID]bool    // set-ups sent and not answered
 	sessions            map[SessionID]float64 // sessions that play, and since when
+	givenUp             map[SessionID]float64 // sessions that were given up after silence, and when
 	openedAt            float64               // when the stream was requested
 	lastContactAt       float64               // last contact; at first, when the stream was requested
 	retryAt             float64               // when to open the stream again
@@ -162,12 +178,16 @@
 // New makes a Monitor without media nodes.
 func New(cfg Config) *Monitor { return &Monitor{cfg: cfg, nodes: map[NodeID]*nodeState{}} }
 
-// State returns the state of a media node.
+// State returns the state of a media node. One whose sessions were given up is down until it is reached.
 func (m *Monitor) State(id NodeID) State {
-	if node := m.nodes[id]; node != nil {
-		return node.state
+	node := m.nodes[id]
+	switch {
+	case node == nil:
+		return StateIdle
+	case len(node.givenUp) > 0 && len(node.sessions) == 0 && node.state != StateUp:
+		return StateDown
 	}
-	return StateIdle
+	return node.state
 }
 
 // Sessions is the number of sessions that play on a media node.
@@ -192,7 +212,8 @@
 			if ev.Kind != SetupSent && ev.Kind != SessionStarted && ev.Kind != SessionAdopted {
 				continue
 			}
-			node = &nodeState{id: ev.Node, pendingSetups: map[SessionID]bool{}, sessions: map[SessionID]float64{}}
+			node = &nodeState{id: ev.Node, pendingSetups: map[SessionID]bool{}, sessions: map[SessionID]float64{},
+				givenUp: map[SessionID]float64{}}
 			m.nodes[ev.Node] = node
 			i, _ := slices.BinarySearchFunc(m.sortedNodes, node, func(a, b *nodeState) int { return cmp.Compare(a.id, b.id) })
 			m.sortedNodes = slices.Insert(m.sortedNodes, i, node)
@@ -226,11 +247,19 @@
 		if node.unused() {
 			node.unusedSince = m.now
 		}
+	case LostSessionEnded:
+		delete(node.givenUp, ev.Session)
+		if node.unused() {
+			node.unusedSince = m.now
+		}
 	case StreamOpened:
-		if node.state == StateOpening {
+		if node.state == StateOpening || node.state == StateBroken || node.state == StateDown && len(node.givenUp) > 0 {
 			m.reconcileSessions(node, ev)
 		}
 	case StreamActivity:
+		if !m.cfg.StreamListsSessions {
+			m.endGivenUp(node)
+		}
 		if node.state == StateOpening || node.state == StateUp || node.state == StateBroken {
 			node.lastContactAt = m.now
 		}
@@ -245,7 +274,7 @@
 	}
 }
 
-func (n *nodeState) unused() bool { return len(n.pendingSetups) == 0 && len(n.sessions) == 0 }
+func (n *nodeState) unused() bool { return len(n.pendingSetups)+len(n.sessions)+len(n.givenUp) == 0 }
 
 func (m *Monitor) openStream(node *nodeState) {
 	if node.state == StateIdle || node.state == StateDown {
@@ -261,6 +290,11 @@
 func (m *Monitor) reconcileSessions(node *nodeState, ev *Event) {
 	node.state, node.lastContactAt, node.retryDelayMs, node.bootID, node.consecutiveRefusals =
 		StateUp, m.now, 0, ev.BootID, 0
+	if !m.cfg.StreamListsSessions {
+		m.endGivenUp(node)
+		return
+	}
+	m.lostSessionsGone(node) // those that still run are among the orphans
 	running := make(map[SessionID]bool, len(ev.Sessions))
 	for _, session := range ev.Sessions {
 		running[session] = true
@@ -270,11 +304,34 @@
 	}
 	for _, session := range sortedSessions(node.sessions) {
 		if !running[session] && node.sessions[session] < node.openedAt {
-			m.loseSession(node, session)
+			m.loseSession(node, session, false)
 		}
 	}
 }
 
+// endGivenUp ends the sessions that were given up at a media node that has just been heard.
+func (m *Monitor) endGivenUp(node *nodeState) {
+	for _, session := range sortedSessions(node.givenUp) {
+		m.out = append(m.out, Action{Kind: EndOrphan, Node: node.id, Session: session})
+	}
+	m.lostSessionsGone(node)
+}
+
+// lostSessionsGone reports that the sessions that were given up play no longer.
+func (m *Monitor) lostSessionsGone(node *nodeState) {
+	for _, session := range sortedSessions(node.givenUp) {
+		m.lostSessionGone(node, session)
+	}
+}
+
+func (m *Monitor) lostSessionGone(node *nodeState, session SessionID) {
+	delete(node.givenUp, session)
+	m.out = append(m.out, Action{Kind: LostSessionGone, Node: node.id, Session: session})
+	if node.unused() {
+		node.unusedSince = m.now
+	}
+}
+
 func sortedSessions(sessions map[SessionID]float64) []SessionID {
 	out := make([]SessionID, 0, len(sessions))
 	for session := range sessions {
@@ -284,9 +341,12 @@
 	return out
 }
 
-func (m *Monitor) loseSession(node *nodeState, session SessionID) {
+func (m *Monitor) loseSession(node *nodeState, session SessionID, mayPlay bool) {
 	delete(node.sessions, session)
-	m.out = append(m.out, Action{Kind: SessionLost, Node: node.id, Session: session})
+	m.out = append(m.out, Action{Kind: SessionLost, Node: node.id, Session: session, MayPlay: mayPlay})
+	if mayPlay {
+		node.givenUp[session] = m.now
+	}
 	if node.unused() {
 		node.unusedSince = m.now
 	}
@@ -302,6 +362,28 @@
 	}
 }
 
+// checkDown gives the sessions of a media node up that had no contact for too long, or whose process has ended.
+func (m *Monitor) checkDown(node *nodeState) {
+	if node.state != StateBroken && node.state != StateOpening {
+		return
+	}
+	processEnded := node.consecutiveRefusals >= refusalsUntilDown
+	if processEnded {
+		m.lostSessionsGone(node)
+	}
+	if len(node.sessions) == 0 || !processEnded && m.now-node.lastContactAt <= m.cfg.NodeTimeoutMs {
+		return
+	}
+	m.out = append(m.out, Action{Kind: NodeDown, Node: node.id, Count: len(node.sessions)})
+	for _, session := range sortedSessions(node.sessions) {
+		m.loseSession(node, session, !processEnded)
+	}
+	if node.state == StateOpening {
+		m.out = append(m.out, Action{Kind: CancelOpen, Node: node.id})
+	}
+	node.state = StateDown
+}
+
 // checkTimeouts does what is due at a Tick; the package comment has the table.
 func (m *Monitor) checkTimeouts() {
 	for _, node := range m.sortedNodes {
@@ -321,17 +403,7 @@
 				node.state = StateIdle
 			}
 		}
-		dead := m.now-node.lastContactAt > m.cfg.NodeTimeoutMs || node.consecutiveRefusals >= refusalsUntilDown
-		if (node.state == StateBroken || node.state == StateOpening) && len(node.sessions) > 0 && dead {
-			m.out = append(m.out, Action{Kind: NodeDown, Node: node.id, Count: len(node.sessions)})
-			for _, session := range sortedSessions(node.sessions) {
-				m.loseSession(node, session)
-			}
-			if node.state == StateOpening {
-				m.out = append(m.out, Action{Kind: CancelOpen, Node: node.id})
-			}
-			node.state = StateDown
-		}
+		m.checkDown(node)
 		if node.state == StateBroken && m.now >= node.retryAt {
 			if node.unused() {
 				node.state = StateIdle
@@ -339,9 +411,15 @@
 				m.openStream(node)
 			}
 		}
-		if node.state == StateDown && len(node.pendingSetups) > 0 { // a set-up is sent there, so it may be back
+		// A set-up is sent there, so it may be back; or it may have to be told.
+		if node.state == StateDown && len(node.pendingSetups)+len(node.givenUp) > 0 {
 			m.openStream(node)
 		}
+		for _, session := range sortedSessions(node.givenUp) {
+			if m.now-node.givenUp[session] > m.cfg.LostRetentionMs {
+				m.lostSessionGone(node, session)
+			}
+		}
 	}
 	// A media node that has been unused for 10 idle time-outs is forgotten, so that the table is bounded by the present
 	// nodes.
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -79,6 +79,10 @@
 	nodeSweepIntervalMs = 1000
 )
 
+// lostRetentionMs is the time, in ms, for which a media node that could not be reached may come back with the sessions that
+// were given up there.
+const lostRetentionMs = 30000
+
 // logIntervalMs is the minimum time, in ms, between two log lines about a condition that may recur often.
 const logIntervalMs = 2000
 
@@ -148,12 +152,14 @@
 	moduleActions     []headmill.Action
 	stepping          bool
 
-	sessions   map[idempotency.SessionID]*session
-	viewers    map[*viewerConn]struct{}
-	requests   map[idempotency.RequestID]*sessionRequest
-	webSockets map[*webSocket]struct{}
-	nodes      map[headmill.NodeID]*mediaNode
-	discovery  discoveryClient
+	sessions map[idempotency.SessionID]*session
+	// lostSessions are those that were given up and still hold what they use, as their media nodes may play them.
+	lostSessions map[idempotency.SessionID]*session
+	viewers      map[*viewerConn]struct{}
+	requests     map[idempotency.RequestID]*sessionRequest
+	webSockets   map[*webSocket]struct{}
+	nodes        map[headmill.NodeID]*mediaNode
+	discovery    discoveryClient
 
 	lastSessionID       idempotency.SessionID
 	lastRequestID       idempotency.RequestID
@@ -189,17 +195,18 @@
 		return nil, fmt.Errorf("director: %w", err)
 	}
 	d := &Director{
-		cfg:        cfg,
-		loop:       eventLoop,
-		log:        log,
-		bootID:     fmt.Sprintf("%08x", b[8:]),
-		seed:       cfg.Director.Seed,
-		titles:     map[string]*title{},
-		sessions:   map[idempotency.SessionID]*session{},
-		viewers:    map[*viewerConn]struct{}{},
-		requests:   map[idempotency.RequestID]*sessionRequest{},
-		webSockets: map[*webSocket]struct{}{},
-		nodes:      map[headmill.NodeID]*mediaNode{},
+		cfg:          cfg,
+		loop:         eventLoop,
+		log:          log,
+		bootID:       fmt.Sprintf("%08x", b[8:]),
+		seed:         cfg.Director.Seed,
+		titles:       map[string]*title{},
+		sessions:     map[idempotency.SessionID]*session{},
+		lostSessions: map[idempotency.SessionID]*session{},
+		viewers:      map[*viewerConn]struct{}{},
+		requests:     map[idempotency.RequestID]*sessionRequest{},
+		webSockets:   map[*webSocket]struct{}{},
+		nodes:        map[headmill.NodeID]*mediaNode{},
 	}
 	if d.seed == 0 {
 		d.seed = binary.LittleEndian.Uint64(b[:])
@@ -238,12 +245,14 @@
 	d.initQuality()
 	t := &cfg.Times
 	d.health = health.New(health.Config{
-		StreamTimeoutMs: t.NodeStreamTimeoutMs,
-		NodeTimeoutMs:   t.NodeTimeoutMs,
-		MinRetryMs:      100, // delay before an event stream is opened again; doubles up to MaxRetryMs
-		MaxRetryMs:      1000,
-		IdleTimeoutMs:   t.NodeIdleMs,
-		OpenTimeoutMs:   t.NodeStreamTimeoutMs,
+		StreamTimeoutMs:     t.NodeStreamTimeoutMs,
+		NodeTimeoutMs:       t.NodeTimeoutMs,
+		MinRetryMs:          100, // delay before an event stream is opened again; doubles up to MaxRetryMs
+		MaxRetryMs:          1000,
+		IdleTimeoutMs:       t.NodeIdleMs,
+		OpenTimeoutMs:       t.NodeStreamTimeoutMs,
+		LostRetentionMs:     lostRetentionMs,
+		StreamListsSessions: true,
 	})
 	d.nodeList = discovery.New(discovery.Config{
 		MaxNodes: cfg.Limits.Nodes,
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"headmill/decide/health"
 	"headmill/decide/shutdown"
 	"headmill/internal/config"
 	"headmill/internal/dash"
@@ -607,6 +608,26 @@
 	})
 }
 
+// Guards against a seat that is given twice: a session is lost in a silence, and its media node may still play it.
+func TestLostSessionHoldsItsSeat(t *testing.T) {
+	env := newTestEnv(t, 1, func(s *config.Settings, _ *medianode.Config) { s.Classes[1].MaxPerTitle = 1 })
+	env.wantStatus("first", env.get("free", env.token("free", "a")), 200)
+	lost := health.Action{Kind: health.SessionLost, MayPlay: true}
+	env.onLoop(func() int {
+		for id, s := range env.director.sessions {
+			lost.Node, lost.Session = health.NodeID(s.node), health.SessionID(id)
+		}
+		env.director.applyHealthAction(lost)
+		return 0
+	})
+	env.wantStatus("while it may play", env.get("free", env.token("free", "b")), 503)
+	env.onLoop(func() int {
+		env.director.applyHealthAction(health.Action{Kind: health.LostSessionGone, Node: lost.Node, Session: lost.Session})
+		return 0
+	})
+	env.wantStatus("afterwards", env.get("free", env.token("free", "c")), 200)
+}
+
 // The discovery service becomes unavailable: the last node list stays in force.
 func TestDiscoveryUnavailable(t *testing.T) {
 	env := newTestEnv(t, 1, nil)
--- a/internal/director/session.go
+++ b/internal/director/session.go
@@ -247,8 +247,10 @@
 		if s := d.sessions[idempotency.SessionID(a.Session)]; s != nil &&
 			s.state == sessionPlaying && s.node == node.id {
 			d.stats.LostSessions++
-			d.endSession(s, headmill.OutcomeReset, orca.Load{}, "lost")
+			d.loseSession(s, a.MayPlay)
 		}
+	case health.LostSessionGone:
+		d.freeLostSession(idempotency.SessionID(a.Session))
 	case health.EndOrphan:
 		if s := d.sessions[idempotency.SessionID(a.Session)]; s == nil ||
 			s.state != sessionPlaying && s.setup == nil {
@@ -270,9 +272,32 @@
 	if s.state != sessionPlaying {
 		return
 	}
-	s.state = sessionEnded
+	d.freeSession(s, outcome, load)
+	d.endForPlayer(s, reason)
+}
+
+// loseSession ends a playing session that was lost with its media node. One that the media node may still play holds its
+// reservation, and its place under its class's cap, until it plays no longer.
+func (d *Director) loseSession(s *session, mayPlay bool) {
+	if mayPlay && d.cfg.ModuleConfig().Classes[s.title.class].Capped() {
+		d.lostSessions[s.id] = s
+		d.endForPlayer(s, "lost")
+		return
+	}
+	d.endSession(s, headmill.OutcomeReset, orca.Load{}, "lost")
+}
+
+// freeLostSession frees what a lost session held that plays no longer.
+func (d *Director) freeLostSession(id idempotency.SessionID) {
+	if s := d.lostSessions[id]; s != nil {
+		delete(d.lostSessions, id)
+		d.freeSession(s, headmill.OutcomeCancelled, orca.Load{})
+	}
+}
+
+// freeSession frees a session's reservation and reports its end to the module.
+func (d *Director) freeSession(s *session, outcome headmill.Outcome, load orca.Load) {
 	d.admissionSessionEnded(s)
-	s.trace.End(reason)
 	d.queueModuleEvent(headmill.Event{
 		Kind:        headmill.EvAttemptEnded,
 		Session:     headmill.SessionID(s.id),
@@ -282,6 +307,12 @@
 		LatencyMs:   d.loop.Now() - s.requestedAt,
 		LoadReport:  moduleReport(load),
 	})
+}
+
+// endForPlayer ends a playing session for its player and its ledger entry.
+func (d *Director) endForPlayer(s *session, reason string) {
+	s.state = sessionEnded
+	s.trace.End(reason)
 	d.healthEvents = append(d.healthEvents, health.Event{
 		Kind:    health.SessionEnded,
 		Node:    health.NodeID(s.node),
--- a/internal/platform/proxy/medianode.go
+++ b/internal/platform/proxy/medianode.go
@@ -43,10 +43,11 @@
 	addr        string
 	conns       []*nodeConn
 	sessions    map[uint64]*session // playing or ending, by protocol id
-	queue       [][]byte            // messages about sessions, kept until a connection is established
-	queuedSince float64             // loop time, ms, of the first message in queue
-	lastUsed    float64             // loop time, ms
-	silentSince float64             // loop time, ms, at which it was last found silent; see nodeConn.proven
+	lost        map[headmill.SessionID]*lostSession
+	queue       [][]byte // messages about sessions, kept until a connection is established
+	queuedSince float64  // loop time, ms, of the first message in queue
+	lastUsed    float64  // loop time, ms
+	silentSince float64  // loop time, ms, at which it was last found silent; see nodeConn.proven
 	// needsNewConn tells that a release may have been lost with a connection. The media node repeats it on the next one
 	// that is opened, and on no other.
 	needsNewConn bool
@@ -57,7 +58,8 @@
 func (p *Proxy) mediaNode(id headmill.NodeID) *mediaNode {
 	n := p.nodes[id]
 	if n == nil {
-		n = &mediaNode{proxy: p, id: id, sessions: map[uint64]*session{}}
+		n = &mediaNode{proxy: p, id: id, sessions: map[uint64]*session{},
+			lost: map[headmill.SessionID]*lostSession{}}
 		n.name, n.addr = p.nodeList.Name(id), p.nodeList.Addr(id)
 		p.nodes[id] = n
 	}
@@ -79,7 +81,7 @@
 		n.proxy.nodeConnCount >= n.proxy.cfg.Sockets/3 {
 		return nil
 	}
-	return n.dialBeyondLimits()
+	return n.dialWithin(n.proxy.cfg.ConnectMs)
 }
 
 // dialProbe opens a connection to find out whether the media node is alive, or for the releases that it repeats on a new
@@ -96,7 +98,7 @@
 		n.proxy.nodeConnCount >= n.proxy.cfg.Sockets/3+n.proxy.cfg.Sockets/32 {
 		return nil
 	}
-	return n.dialBeyondLimits()
+	return n.dialWithin(probeTimeoutMs(n.proxy.cfg))
 }
 
 // closeUnansweredConn closes the oldest connection on which the media node has never written anything: the one whose loss
@@ -129,8 +131,8 @@
 	return false
 }
 
-// dialBeyondLimits opens a connection whatever the number of those that are open.
-func (n *mediaNode) dialBeyondLimits() *nodeConn {
+// dialWithin opens a connection whatever the number of those that are open, and gives it up after timeoutMs.
+func (n *mediaNode) dialWithin(timeoutMs float64) *nodeConn {
 	if n.addrReassigned() {
 		return nil
 	}
@@ -144,7 +146,7 @@
 	conn.SetOutputLimit(maxNodeOutput)
 	n.conns = append(n.conns, nc)
 	n.proxy.nodeConnCount++
-	nc.connectTimer = n.proxy.loop.After(n.proxy.cfg.ConnectMs, func() { conn.Close(loop.ErrConnectFailed) })
+	nc.connectTimer = n.proxy.loop.After(timeoutMs, func() { conn.Close(loop.ErrConnectFailed) })
 	return nc
 }
 
@@ -218,11 +220,8 @@
 	n.silentSince = now
 	n.proxy.log.Debug("media node is probed with a connection", "host", n.name, "conns", len(n.conns),
 		"sessions", len(n.sessions))
-	for _, nc := range n.conns {
-		if !nc.established && nc.addr == n.addr {
-			nc.probe = true
-			return
-		}
+	if slices.ContainsFunc(n.conns, func(nc *nodeConn) bool { return nc.probe && !nc.established && nc.addr == n.addr }) {
+		return
 	}
 	if nc := n.dialProbe(); nc != nil {
 		nc.probe = true
@@ -264,17 +263,13 @@
 
 // reportStreamOpened reports an established connection to the health monitor.
 func (n *mediaNode) reportStreamOpened() {
-	n.proxy.queueHealthEvent(health.Event{Kind: health.StreamOpened, Node: health.NodeID(n.id), Sessions: n.sessionIDs()})
+	n.proxy.queueHealthEvent(health.Event{Kind: health.StreamOpened, Node: health.NodeID(n.id)})
 }
 
-// sessionIDs lists the sessions that this director has there. The platform's media nodes don't report what they run, so
-// an established connection proves that the node is alive, and never that a session is lost.
-func (n *mediaNode) sessionIDs() []health.SessionID {
-	var ids []health.SessionID
-	for _, s := range n.sessions {
-		ids = append(ids, health.SessionID(s.moduleID))
-	}
-	return ids
+// hasEstablishedConn reports whether a connection is open. One that is proves that the process has not ended, which would
+// reset it, whatever is said of new ones.
+func (n *mediaNode) hasEstablishedConn() bool {
+	return slices.ContainsFunc(n.conns, func(nc *nodeConn) bool { return nc.usable() })
 }
 
 // closeUnusedConns closes the connections that carry no set-up, after reading what has arrived on them. Where output is
@@ -345,10 +340,10 @@
 	n.dialForQueue()
 	n.retryFetch(now)
 	removed := !n.proxy.nodeList.Listed(n.id)
-	if removed && len(n.sessions) == 0 {
+	if removed && len(n.sessions)+len(n.lost) == 0 {
 		n.closeUnusedConns()
 	}
-	if len(n.conns) == 0 && len(n.sessions) == 0 && len(n.queue) == 0 && (removed || now-n.lastUsed > unusedNodeTTLMs) {
+	if len(n.conns) == 0 && len(n.sessions)+len(n.lost) == 0 && len(n.queue) == 0 && (removed || now-n.lastUsed > unusedNodeTTLMs) {
 		delete(n.proxy.nodes, n.id)
 	}
 }
--- a/internal/platform/proxy/nodeconn.go
+++ b/internal/platform/proxy/nodeconn.go
@@ -164,7 +164,7 @@
 	}
 	if len(n.conns) == 0 || nc.probe && !nc.established {
 		n.proxy.queueHealthEvent(health.Event{Kind: health.StreamFailed, Node: health.NodeID(n.id),
-			ConnRefused: loop.IsConnRefused(err)})
+			ConnRefused: loop.IsConnRefused(err) && !n.hasEstablishedConn()})
 	} else if nc.established && err != loop.ErrClosedByOwner && (err != nil || nc.reader.Partial()) && len(n.sessions) > 0 {
 		// A release that the media node wrote here may be lost. Other connections are open already, so without this one
 		// none might be opened, and the session would stay in the table for good.
@@ -212,6 +212,8 @@
 				outcome = headmill.OutcomeCancelled
 			}
 			p.sessionEnded(s, outcome, cause, report)
+		} else if moduleID, ok := node.findLost(msg.Session); ok {
+			node.lostSessionEnded(moduleID, report)
 		} else {
 			p.earlyEnds.Add(p.loop.Now(), release.SessionID(msg.Session), int(msg.Cause()))
 		}
--- a/internal/platform/proxy/proxy.go
+++ b/internal/platform/proxy/proxy.go
@@ -34,7 +34,6 @@
 import (
 	"log/slog"
 	"math"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -83,6 +82,14 @@
 	// releaseRetransmitMs is the time to wait for a confirmation before the release is repeated: a third of the second
 	// within which a viewer must be notified (PROTOCOL, "The rules on sockets").
 	releaseRetransmitMs = 333.0
+	// notificationMarginMs is the part of releaseRetentionMs that is kept for the release of a session that is given up:
+	// for a late event loop, and for repeating the release on further connections.
+	notificationMarginMs = 1000.0
+	// maxConnectDelayMs is the time by which a connection to a media node that runs may come up late (FLEET, "join+mass").
+	maxConnectDelayMs = 1000.0
+	// lostRetentionMs is the longest time for which a media node that could not be reached may come back with the sessions
+	// that were given up there (BRIEF, "go silent").
+	lostRetentionMs = 30000.0
 	// maxEarlyEnds limits the remembered ends of sessions that viewers have not named.
 	maxEarlyEnds = 512
 	// maxUsualLagMs is the longest iteration of the event loop that is not logged.
@@ -193,29 +200,32 @@
 // healthConfig sets when a silent media node is probed with a connection, and when its sessions are given up. What
 // decide/health calls the event stream of a media node is any established connection here.
 //
-// A media node sends a load report on one of its sessions every ReportIntervalMs, up to ReportDelayMs late. It counts as
-// silent after that time plus two connect timeouts, which cover the loop's own lateness. Where the settings define no
-// reports, the longest class deadline replaces the interval, since only answers are then received.
-//
-// Whatever the settings say, viewers are notified of a lost session within releaseRetentionMs, the limit of the
-// protocol: at most a half of it passes in silence, and another quarter while connects are tried. A media node that
-// merely has nothing to send proves that it is alive by accepting the connection.
+// Whatever the settings say, viewers are notified of a lost session within releaseRetentionMs, the limit of the protocol,
+// which runs from the last moment at which the media node was heard. No session is given up earlier than that limit
+// demands: silence alone proves nothing, as a media node may have nothing to send (with reports every five seconds it
+// usually has not) and may be cut off for a moment. It is probed in time for two connections in a row that come up late;
+// one that does come up proves that the media node is there.
 func healthConfig(cfg *Config) health.Config {
-	silence := cfg.Module.ReportIntervalMs + cfg.Module.ReportDelayMs + 2*cfg.ConnectMs
-	if cfg.Module.ReportIntervalMs == 0 {
-		silence = slices.Max(cfg.DeadlineMs)
-	}
-	silence = math.Min(silence, releaseRetentionMs/2)
+	nodeTimeout := releaseRetentionMs - notificationMarginMs
+	retry := math.Min(cfg.ConnectMs/4, maxConnectDelayMs/4)
+	probes := 2*(probeTimeoutMs(cfg)+sweepIntervalMs) + retry // two in a row
 	return health.Config{
-		StreamTimeoutMs: silence,
-		NodeTimeoutMs:   silence + math.Min(3*cfg.ConnectMs, releaseRetentionMs/4), // then time to connect
-		MinRetryMs:      cfg.ConnectMs / 4,
-		MaxRetryMs:      2 * cfg.ConnectMs,
-		IdleTimeoutMs:   cfg.KeepAliveMs / 3,               // before the media node closes the connection as idle
-		OpenTimeoutMs:   cfg.ConnectMs + sweepIntervalMs/2, // after dial's own timeout, which reports the failure first
+		StreamTimeoutMs: nodeTimeout - probes,
+		NodeTimeoutMs:   nodeTimeout,
+		MinRetryMs:      retry,
+		MaxRetryMs:      math.Min(2*cfg.ConnectMs, maxConnectDelayMs),
+		IdleTimeoutMs:   cfg.KeepAliveMs / 3,                     // before the media node closes the connection as idle
+		OpenTimeoutMs:   probeTimeoutMs(cfg) + sweepIntervalMs/2, // after dialProbe's, which reports the failure first
+		LostRetentionMs: lostRetentionMs,
 	}
 }
 
+// probeTimeoutMs is the time that a connection may take which is opened to find out whether a media node is alive. It may
+// come up late, beyond the connect timeout for set-ups, and proves as much then.
+func probeTimeoutMs(cfg *Config) float64 {
+	return math.Min(maxConnectDelayMs+cfg.ConnectMs, (releaseRetentionMs-notificationMarginMs)/4)
+}
+
 // Start applies the configured node list, starts to query the discovery service and accepts viewers.
 func (p *Proxy) Start() error {
 	known, err := p.cfg.Snapshot.Message(p.cfg.Vocabulary)
@@ -361,13 +371,18 @@
 	case health.CloseStream:
 		p.log.Debug("media node is unused", "host", n.name, "conns", len(n.conns), "sessions", len(n.sessions))
 		n.closeUnusedConns()
-	case health.SessionLost, health.EndOrphan:
-		// EndOrphan can only name one of this director's own sessions (see sessionIDs), one that the health monitor does
-		// not hold any more. It ends like a lost one.
+	case health.SessionLost:
 		if s := p.sessionsByModuleID[headmill.SessionID(action.Session)]; s != nil && s.state != statePending {
 			p.stats.Lost++
-			p.sessionEnded(s, headmill.OutcomeReset, causeReset, headmill.LoadReport{})
+			p.sessionLost(s, action.MayPlay)
+		}
+	case health.EndOrphan:
+		if lost := n.lost[headmill.SessionID(action.Session)]; lost != nil {
+			p.log.Info("lost session is ended at its media node", "id", logID(lost.id), "host", n.name)
+			n.sendRelease(lost.id, p.loop.Now())
 		}
+	case health.LostSessionGone:
+		n.removeLost(headmill.SessionID(action.Session), headmill.OutcomeCancelled, headmill.LoadReport{})
 	case health.NodeDown:
 		p.log.Warn("media node is down; its sessions are given up", "host", n.name, "sessions", action.Count)
 	}
--- a/internal/platform/proxy/session.go
+++ b/internal/platform/proxy/session.go
@@ -40,6 +40,7 @@
 	id             uint64             // of the protocol
 	moduleID       headmill.SessionID // of the decision module
 	state          sessionState
+	class          int     // index in the settings
 	rung, sentRung int     // as set by the module; as last sent to, or reported by, the media node (or rungUnknown)
 	viewer         *viewer // connection that the set-up came on; nil once it is closed
 	className      string
@@ -138,7 +139,7 @@
 		r.timeLeftMs = p.shutdown.TimeLeft(p.loop.Now(), r.timeLeftMs)
 	}
 	p.lastModuleID++
-	s := &session{id: id, moduleID: p.lastModuleID, className: r.className, title: r.title, sdp: r.sdp, viewer: v,
+	s := &session{id: id, moduleID: p.lastModuleID, class: r.class, className: r.className, title: r.title, sdp: r.sdp, viewer: v,
 		deadline: p.loop.Now() + r.timeLeftMs, rung: p.cfg.Module.Classes[r.class].MinRung}
 	p.sessions[id], p.sessionsByModuleID[s.moduleID] = s, s
 	ev := headmill.Event{Kind: headmill.EvRequest, Session: s.moduleID, Class: r.class, Title: r.titleID,
@@ -201,13 +202,18 @@
 	if s.state != statePlaying && s.state != stateEnding {
 		return
 	}
+	p.queueEvent(headmill.Event{Kind: headmill.EvAttemptEnded, Session: s.moduleID, Node: s.node.id, Outcome: outcome,
+		SessionOver: true, LoadReport: report})
+	p.removePlaying(s, cause)
+}
+
+// removePlaying removes a session that played and reports its end to the viewer, unless that ended it.
+func (p *Proxy) removePlaying(s *session, cause int) {
 	delete(s.node.sessions, s.id)
 	p.log.Debug("session ended", "id", logID(s.id), "host", s.node.name, "cause", cause, "state", s.state)
 	if s.state == statePlaying && cause != causeCancelled {
 		p.notifySessionEnd(s.viewer, s.id, cause)
 	}
-	p.queueEvent(headmill.Event{Kind: headmill.EvAttemptEnded, Session: s.moduleID, Node: s.node.id, Outcome: outcome,
-		SessionOver: true, LoadReport: report})
 	p.queueHealthEvent(health.Event{Kind: health.SessionEnded, Node: health.NodeID(s.node.id),
 		Session: health.SessionID(s.moduleID)})
 	p.removeSession(s)
--- a/test/faults/review_test.go
+++ b/test/faults/review_test.go
@@ -8,6 +8,7 @@
 // Guards against ends of sessions that reach no viewer because their media node stood still (review/1): it writes them, once
 // it goes on, on connections that the director must not have closed for being silent.
 func TestSessionsOfANodeThatStoodStillAreReleased(t *testing.T) {
+	t.Parallel()
 	rare, quiet := usualSettings, usualSettings
 	rare.reportInterval, rare.reportDelay = 5*time.Second, 1400*time.Millisecond
 	quiet.reportInterval = 0
@@ -39,3 +40,53 @@
 		})
 	}
 }
+
+// Guards against sessions that are given up at a media node that runs (review/2): it has nothing to say between its reports,
+// and connections to it come up late, by up to a second, several in a row. The seats of what plays there stay taken.
+func TestSessionsOfAQuietNodeAreKept(t *testing.T) {
+	t.Parallel()
+	rare, none, slow := usualSettings, usualSettings, usualSettings
+	rare.reportInterval, rare.reportDelay = 5*time.Second, 1400*time.Millisecond
+	none.reportInterval = 0
+	none.deadlines = [2]time.Duration{860 * time.Millisecond, 740 * time.Millisecond}
+	slow.reportInterval, slow.connect = 0, 750*time.Millisecond
+	for name, s := range map[string]settings{"reports every 5 s": rare, "no reports": none, "long connect timeout": slow} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s.seats = 2
+			w := newWorld(t, 6, 1, 3, s)
+			w.sessionMs = 60000
+			w.directors[0].start()
+			w.startViewers(4, steadyViewers)
+			time.Sleep(2 * time.Second)
+			n := w.busiestNode()
+			for until := time.Now().Add(20 * time.Second); time.Now().Before(until); {
+				n.holdConnects(950*time.Millisecond, false)
+			}
+			w.quiet.Store(true)
+			time.Sleep(s.deadlines[0])
+			w.report(name)
+		})
+	}
+}
+
+// Guards against sessions that play on with nobody to watch them, and seats that are given twice, after a media node was cut
+// off for longer than its sessions can be kept (review/2): once it is reached again it is told to end them.
+func TestSessionsGivenUpInACutAreEnded(t *testing.T) {
+	t.Parallel()
+	s := usualSettings
+	s.seats = 2
+	w := newWorld(t, 7, 1, 3, s)
+	w.sessionMs = 120000
+	w.directors[0].start()
+	w.startViewers(4, steadyViewers)
+	time.Sleep(2 * time.Second)
+	n := w.busiestNode()
+	n.setState(nodeCutOff)
+	time.Sleep(12 * time.Second)
+	n.setState(nodeUp)
+	time.Sleep(3 * time.Second)
+	w.quiet.Store(true)
+	time.Sleep(s.deadlines[0])
+	w.report("cut off")
+}
--- a/test/faults/rules_test.go
+++ b/test/faults/rules_test.go
@@ -22,6 +22,7 @@
 	toldAfterTrouble  = 6 * time.Second         // and so long after discovery had it and could be reached, after trouble
 	startAfterLeaving = 100 * time.Millisecond  // an attempt may begin so long after its client left
 	leastOpen         = 200 * time.Millisecond  // a connection open for so long is one that a release could be sent on
+	tellLimit         = 2 * time.Second         // for a media node that is there to be told of a session that was given up
 	attemptOrderSlack = limitSlack              // two media nodes' records of one director's order
 )
 
@@ -45,7 +46,9 @@
 	}
 	for _, s := range w.sessions {
 		w.checkRelease(s, end)
+		w.checkGivenUp(s, end)
 	}
+	w.checkSeats(attempts)
 	return w.violations
 }
 
@@ -165,6 +168,83 @@
 		r.life.describe())
 }
 
+// checkGivenUp checks that no session was given up that plays at a media node which was there all the time, and that one which
+// was given up is ended once its media node is there.
+func (w *world) checkGivenUp(s *session, end time.Duration) {
+	r := w.requests[s.id]
+	if r == nil || r.answer != answerPlays || r.releasedAt == 0 || r.leftAt > 0 || w.sdps[r.sdp] != s.id {
+		return
+	}
+	plays := s.endedAt == 0 || s.endedAt > r.releasedAt+limitSlack
+	if plays && !s.node.wasAway(r.releasedAt-releaseFromEnd, r.releasedAt) {
+		w.broken("session given up at %.3f, though %s plays it: %v%s", r.releasedAt.Seconds(), s.node.name, r, r.life.describe())
+	}
+	if s.endedAt == 0 && !s.node.wasAway(end-tellLimit, end) && r.releasedAt < end-tellLimit && !r.life.hasEnded(r.director) {
+		w.broken("session given up at %.3f still plays at %s: %v%s", r.releasedAt.Seconds(), s.node.name, r,
+			r.life.describe())
+	}
+}
+
+// hasEnded tells whether the process has ended or was told to.
+func (l *lifetime) hasEnded(d *director) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return l.exitedAt > 0 || l.termAt > 0 || l.killedAt > 0
+}
+
+// checkSeats checks that no attempt of the class with seats arrived while all seats of its title were held.
+func (w *world) checkSeats(attempts map[uint64][]*attemptRecord) {
+	if w.settings.seats == 0 {
+		return
+	}
+	type seatKey struct {
+		life  *lifetime
+		title uint64
+	}
+	groups := map[seatKey][]*request{}
+	for _, r := range w.order {
+		if r.class == 0 {
+			key := seatKey{r.life, r.title}
+			groups[key] = append(groups[key], r)
+		}
+	}
+	for key, requests := range groups {
+		for _, r := range requests {
+			for _, a := range attempts[r.id] {
+				held := 1
+				for _, other := range requests {
+					if other != r && w.holdsSeat(other, attempts[other.id], a.arrivedAt) {
+						held++
+					}
+				}
+				if held > w.settings.seats {
+					w.broken("set-up at %s at %.3f is session %d of title %x, %d may be held: %v", a.node, a.arrivedAt.Seconds(),
+						held, key.title, w.settings.seats, r)
+				}
+			}
+		}
+	}
+}
+
+// holdsSeat tells whether a request holds a seat of its director at a moment, and still does a little later: an attempt is
+// out, or the session that its viewer was given plays and neither its viewer nor its director has ended it.
+func (w *world) holdsSeat(r *request, attempts []*attemptRecord, at time.Duration) bool {
+	until := at + limitSlack
+	if r.leftAt > 0 && r.leftAt <= until {
+		return false
+	}
+	if r.answeredAt == 0 || r.answeredAt > until {
+		for _, a := range attempts {
+			if a.arrivedAt <= at && (a.ended == endOpen || a.endedAt > until) {
+				return true
+			}
+		}
+	}
+	s := w.sessions[r.id]
+	return s != nil && r.answer == answerPlays && w.sdps[r.sdp] == s.id && s.startedAt <= at &&
+		s.adoptedAt+adoptionDelay <= at && (s.endedAt == 0 || s.endedAt > until)
+}
+
 // couldBeTold tells whether a viewer had a connection to the process for long enough between two times that a release
 // could be sent on it.
 func (w *world) couldBeTold(r *request, from, to time.Duration) bool {
