Older lists bring no removed media node back, however often they come

Cause: two contradicting answers in a row were taken for version numbers that began again, a means against old lists of the director's last start.

Change: decide/discovery keeps the number that four answers in a row have reached and drops what is older (but for a minute of nothing else); above it a list that isn't newer restricts at once, as a hold, and is accepted after four in a row. Removed starts of media nodes, and those that the first list lacked though they are older, wait for four answers, or 24.

--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -19,17 +19,14 @@
 //	any of these with an invalid entry, a media node twice, or     Invalid; the old list stays
 //	too many media nodes
 //
-// With Config.VersionsMayRestart, a full message of the same epoch and the
-// present or an older version is Stale, but its drains count, until
-// maxContradictions of them in a row contradict the list; the last of these is
-// Accepted. One of an older version than the first message adds no media node
-// that this one did not have: it had been removed before.
+// With Config.VersionsMayRestart, messages may also come out of order, and numbers of an earlier run of the director may
+// come. Which list is valid then is decided in unordered.go.
 //
 // States of a media node, as named in messages:
 //
 //	ready     may be sent set-ups
 //	draining  gets no new set-ups; with VersionsMayRestart it is not ready again until it has restarted, or until no
-//	          message has had its drain for drainMemoryMs
+//	          message has had its drain for restrictionMemoryMs
 //	gone      removed from the list, as is one that is missing from a full message
 package discovery
 
@@ -44,6 +41,13 @@
 	"headmill"
 )
 
+// The states of a media node in messages; see the package comment.
+const (
+	stateReady    = "ready"
+	stateDraining = "draining"
+	stateGone     = "gone"
+)
+
 // Entry is a media node as the discovery service describes it.
 type Entry struct {
 	Name     string  // identifies the media node if given; an address may then pass from one media node to another
@@ -90,17 +94,11 @@
 	Cells    int
 	Kinds    int // 0: any
 	// VersionsMayRestart says that versions may start again without a new epoch, and that old messages may arrive
-	// late. A message that contradicts the list is then accepted once the next one contradicts it too.
+	// late; see unordered.go.
 	VersionsMayRestart bool
 }
 
-// maxContradictions is how many messages in a row must contradict the list before the last of them is accepted: a
-// single one is an old message that arrived late, a second one shows that the service has restarted its version numbers
-// since the list was received.
-const maxContradictions = 2
-
-// bootKey identifies one start of a media node at one address. A drain of it is remembered for drainMemoryMs after the
-// last message that had it, whatever other messages say.
+// bootKey identifies one start of a media node at one address.
 type bootKey struct {
 	id        headmill.NodeID
 	addr      string
@@ -108,34 +106,28 @@
 	bootID    string
 }
 
-// drainMemoryMs is for how long, in ms, a drain is remembered after the last message that had it. It bounds the memory;
-// later a message may make the media node ready again.
-const drainMemoryMs = 300000.0
-
 // listedNode is a media node of the list. The State of its Entry may have been changed to draining.
 type listedNode struct {
 	Entry
 	received  Entry // as in the message
+	holdFor   int   // with VersionsMayRestart: messages that must list it before it counts as ready; see unordered.go
 	id        headmill.NodeID
 	startedAt float64 // start of the present boot on the director's clock; 0: long ago
 }
 
 // List is the node list in force.
 type List struct {
-	cfg            Config
-	epoch          string
-	version        uint64
-	hasList        bool // a message was accepted
-	nodes          map[headmill.NodeID]*listedNode
-	drains         map[bootKey]float64 // draining boots, and when a message last had them
-	contradictions int                 // messages in a row that contradict the list
-	firstVersion   uint64              // of the first message
-	firstNodes     map[headmill.NodeID]bool
+	cfg       Config
+	epoch     string
+	version   uint64
+	hasList   bool // a message was accepted
+	nodes     map[headmill.NodeID]*listedNode
+	unordered unorderedState
 }
 
 // New makes an empty list.
 func New(cfg Config) *List {
-	return &List{cfg: cfg, nodes: map[headmill.NodeID]*listedNode{}, drains: map[bootKey]float64{}}
+	return &List{cfg: cfg, nodes: map[headmill.NodeID]*listedNode{}, unordered: newUnorderedState()}
 }
 
 // Version is the version of the last message that was accepted.
@@ -176,7 +168,7 @@
 // Ready tells whether a media node may be sent set-ups: listed, and not draining.
 func (l *List) Ready(id headmill.NodeID) bool {
 	node := l.nodes[id]
-	return node != nil && node.State == "ready"
+	return node != nil && node.State == stateReady
 }
 
 // Cell is the cell of a media node by the last message; 0 for one that is not listed.
@@ -252,29 +244,21 @@
 		return ev, Invalid, fmt.Errorf("discovery: version %d has %d media nodes, over the limit of %d",
 			m.Version, n, l.cfg.MaxNodes)
 	}
-	if l.cfg.VersionsMayRestart && l.hasList && m.Version < l.firstVersion {
-		nodes = slices.DeleteFunc(nodes, func(node *listedNode) bool { return !l.firstNodes[node.id] })
-	}
-	l.trackDrains(now, nodes)
-	if l.cfg.VersionsMayRestart && m.Full && l.hasList && m.Epoch == l.epoch && m.Version <= l.version {
-		if l.contradictions++; l.matches(m.Version, nodes) {
-			l.contradictions = 0
+	if l.cfg.VersionsMayRestart && m.Full {
+		if !l.hasList || m.Epoch != l.epoch {
+			l.unordered.begin(now, m.Version, seen)
 		}
-		if l.contradictions < maxContradictions {
-			return l.drainEvent(), Stale, nil
+		if !l.decideUnordered(now, m.Version, nodes) {
+			return l.restrictionEvent(), Stale, nil
 		}
 	}
-	l.contradictions = 0
-	if !l.hasList {
-		l.firstVersion, l.firstNodes = m.Version, seen
-	}
 	l.epoch, l.version, l.hasList = m.Epoch, m.Version, true
 	ev = headmill.Event{Kind: headmill.EvNodes, NodesAreDelta: !m.Full}
 	if m.Full {
 		clear(l.nodes)
 	}
 	for _, node := range nodes {
-		if node.State == "gone" {
+		if node.State == stateGone {
 			delete(l.nodes, node.id)
 			if m.Full {
 				continue // to the decision module, a node that is missing from a full list is removed
@@ -288,55 +272,6 @@
 	return ev, Accepted, nil
 }
 
-// trackDrains remembers the drains of a message, changes ready nodes to draining whose drain is remembered, and
-// forgets the drains that no message has had for drainMemoryMs.
-func (l *List) trackDrains(now float64, nodes []*listedNode) {
-	if !l.cfg.VersionsMayRestart {
-		return
-	}
-	for _, node := range nodes {
-		if key := node.bootKey(); node.State == "draining" {
-			l.drains[key] = now
-		} else if _, ok := l.drains[key]; ok && node.State == "ready" {
-			node.State = "draining"
-		}
-	}
-	for key, lastSeenAt := range l.drains {
-		if now-lastSeenAt > drainMemoryMs {
-			delete(l.drains, key)
-		}
-	}
-}
-
-func (n *listedNode) bootKey() bootKey { return bootKey{n.id, n.Addr, n.startedAt, n.BootID} }
-
-// matches tells whether a message says the same as the list.
-func (l *List) matches(version uint64, nodes []*listedNode) bool {
-	if version != l.version || len(nodes) != len(l.nodes) {
-		return false
-	}
-	for _, node := range nodes {
-		if old := l.nodes[node.id]; old == nil || old.received != node.received {
-			return false
-		}
-	}
-	return true
-}
-
-// drainEvent changes listed nodes to draining whose drain came only with a message that was not accepted, and returns
-// them for the decision module.
-func (l *List) drainEvent() headmill.Event {
-	ev := headmill.Event{Kind: headmill.EvNodes, NodesAreDelta: true}
-	for _, node := range l.nodes {
-		if _, ok := l.drains[node.bootKey()]; ok && node.State == "ready" {
-			node.State = "draining"
-			ev.Nodes = append(ev.Nodes, node.moduleNode())
-		}
-	}
-	slices.SortFunc(ev.Nodes, func(a, b headmill.Node) int { return cmp.Compare(a.ID, b.ID) })
-	return ev
-}
-
 // parseEntry checks one entry. The time of start is kept while the boot is the same: uptimes vary with the delay of
 // messages, and a start that moves would look like a restart.
 func (l *List) parseEntry(now float64, e *Entry) (*listedNode, error) {
@@ -348,7 +283,7 @@
 		id = NodeIDFromName(e.Name)
 	}
 	switch {
-	case e.State != "ready" && e.State != "draining" && e.State != "gone":
+	case e.State != stateReady && e.State != stateDraining && e.State != stateGone:
 		return nil, fmt.Errorf("media node %s: state %q is not ready, draining or gone", e.Addr, e.State)
 	case e.Cell < 0 || e.Cell >= l.cfg.Cells:
 		return nil, fmt.Errorf("media node %s: cell %d is negative or not below the number of cells, %d",
@@ -379,9 +314,9 @@
 func (n *listedNode) moduleNode() headmill.Node {
 	out := headmill.Node{ID: n.id, StartedAtMs: n.startedAt, Cell: n.Cell, Weight: n.Weight, Kind: n.Kind, Zone: n.Zone}
 	switch n.State {
-	case "draining":
+	case stateDraining:
 		out.Health = headmill.HealthDraining
-	case "gone":
+	case stateGone:
 		out.Health = headmill.HealthRemoved
 	}
 	return out
--- a/test/faults/review_test.go
+++ b/test/faults/review_test.go
@@ -90,3 +90,30 @@
 	time.Sleep(s.deadlines[0])
 	w.report("cut off")
 }
+
+// Guards against set-ups for a media node that has gone, which its successor at the address gets, when the discovery service
+// answers with an older list several times in a row (review/3): right after the change, soon after and later.
+func TestOlderListsBringNoMediaNodeBack(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 8, 1, 8, usualSettings)
+	w.sessionMs = 3000
+	d := w.directors[0]
+	d.start()
+	w.startViewers(20, steadyViewers)
+	time.Sleep(time.Second)
+	for _, c := range []struct {
+		after time.Duration // the change was told
+		count int
+	}{{0, 3}, {400 * time.Millisecond, 2}, {3 * time.Second, 2}, {0, 1}, {time.Second, 3}, {2 * time.Second, 8}, {0, 8}} {
+		w.replaceNode(w.busiestNode())
+		for !d.discovery.wasTold() {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(c.after)
+		d.discovery.sendOlder(c.count)
+		time.Sleep(time.Duration(c.count)*250*time.Millisecond + time.Second)
+	}
+	w.quiet.Store(true)
+	time.Sleep(usualSettings.deadlines[0])
+	w.report("older lists in a row")
+}
--- a/test/faults/rules_test.go
+++ b/test/faults/rules_test.go
@@ -267,6 +267,9 @@
 		}
 	}
 	w.list.mu.Unlock()
+	if before := a.at.before; before != nil && !a.at.holds(r) {
+		w.checkSuccessor(a, before, r)
+	}
 	if last.version == 0 || last.ready {
 		return
 	}
@@ -277,6 +280,24 @@
 	}
 }
 
+// checkSuccessor checks an attempt for a title that its media node does not hold: it can only be meant for the one that had
+// the address before, and must not come after that one's removal was told.
+func (w *world) checkSuccessor(a *attemptRecord, before *mediaNode, r *request) {
+	w.list.mu.Lock()
+	i := slices.IndexFunc(w.list.history, func(ev listEvent) bool { return ev.node == before.name && !ev.ready })
+	removed := w.list.history[i]
+	for _, ev := range w.list.history {
+		if ev.node == before.name && !ev.ready {
+			removed = ev
+		}
+	}
+	w.list.mu.Unlock()
+	if told := r.director.toldAt(removed, r.life); a.firstByteAt > told+drainGrace+limitSlack {
+		w.broken("set-up %016x from n%d to %s, which does not hold its title, at %.3f: the removal of %s at %.3f (v%d) was told at %.3f",
+			a.id, a.director, a.node, a.firstByteAt.Seconds(), before.name, removed.at.Seconds(), removed.version, told.Seconds())
+	}
+}
+
 // toldAt is when a change counts as told to a process.
 func (d *director) toldAt(ev listEvent, life *lifetime) time.Duration {
 	if life.listVersion >= ev.version {
