Answers of the discovery service are accepted for 30 s after their query

Seen (slow-list of the review): with answers 4 s late the director passed over every one and sent set-ups to a draining media node. PROTOCOL counts an event as told once an answer holding it is sent, so it is a fault.

Cause: only the last 16 queries counted, 3.5 s with a grace of 250 ms. Now the limit is a time, whatever the grace is.

--- a/internal/platform/proxy/discovery.go
+++ b/internal/platform/proxy/discovery.go
@@ -16,8 +16,9 @@
 	// queriesPerWindow is the number of queries within propagationMs plus the settings' drain grace: more than one,
 	// since answers get lost.
 	queriesPerWindow = 8
-	// maxOutstandingQueries is the number of most recent queries whose answers are accepted.
-	maxOutstandingQueries = 16
+	// answerTimeoutMs is the time after a query for which its answer is accepted. However late it is, the director counts as
+	// notified of what it says.
+	answerTimeoutMs = 30000.0
 )
 
 // discoveryClient queries the discovery service for the full node list, periodically and without end.
@@ -49,16 +50,22 @@
 
 // query sends one query and schedules the next.
 func (d *discoveryClient) query() {
-	d.queryTimer = d.proxy.loop.After((propagationMs+d.proxy.cfg.DrainGraceMs)/queriesPerWindow, d.query)
+	d.queryTimer = d.proxy.loop.After(d.queryIntervalMs(), d.query)
 	d.lastQueryID++
 	if query, err := dns.NewQuery(d.lastQueryID, serviceName); err == nil {
 		d.conn.Send(query)
 	}
 }
 
+// queryIntervalMs is the time between two queries.
+func (d *discoveryClient) queryIntervalMs() float64 {
+	return (propagationMs + d.proxy.cfg.DrainGraceMs) / queriesPerWindow
+}
+
 // handleAnswer reads one datagram. An unusable answer leaves the node list as it is: the next query is due soon.
 func (d *discoveryClient) handleAnswer(datagram []byte) {
 	// The difference of two uint16 query IDs is right also after they wrap around.
+	maxOutstandingQueries := uint16(answerTimeoutMs / d.queryIntervalMs())
 	if id, ok := dns.MessageID(datagram); !ok || d.lastQueryID-id >= maxOutstandingQueries {
 		return
 	}
--- a/test/faults/discovery_test.go
+++ b/test/faults/discovery_test.go
@@ -103,6 +103,7 @@
 	discoveryOtherID
 	discoveryOld  // every second answer has an older list
 	discoveryDown // nothing listens
+	discoverySlow // answers with the list of the moment, but late
 	discoveryModes
 
 	discoveryOldInARow // every answer has an older list; not in the soak, see TestOldListsAfterAStart
@@ -117,6 +118,7 @@
 	older    bool // the last answer had an older list
 	olderRun int  // so many further answers have an older list
 	mode     discoveryMode
+	delay    time.Duration            // of answers in discoverySlow
 	upSince  time.Duration            // when it last came back or moved; 0: never in trouble
 	told     map[uint32]time.Duration // when an answer with this version was first sent
 	answered []dnsmessage.Message     // one answer of each version, the last ones
@@ -233,24 +235,40 @@
 			continue
 		}
 		e.mu.Lock()
-		mode := e.mode
+		mode, delay := e.mode, e.delay
 		e.mu.Unlock()
-		if mode == discoverySilent || mode == discoveryDown {
-			continue
-		}
-		if e.takesOlder(mode) {
-			mode = discoveryOldInARow
+		switch mode {
+		case discoverySilent, discoveryDown:
+		case discoverySlow:
+			e.director.world.after(delay, func() { e.sendAnswer(conn, from, query.ID, discoveryUp) })
+		default:
+			e.sendAnswer(conn, from, query.ID, mode)
 		}
-		out, version := e.answer(query.ID, mode)
-		if mode == discoveryUp {
-			e.mu.Lock()
-			if _, ok := e.told[version]; !ok {
-				e.told[version] = e.director.world.now()
-			}
-			e.mu.Unlock()
+	}
+}
+
+// sendAnswer answers a query.
+func (e *discoveryEndpoint) sendAnswer(conn *net.UDPConn, to *net.UDPAddr, id uint16, mode discoveryMode) {
+	if e.takesOlder(mode) {
+		mode = discoveryOldInARow
+	}
+	out, version := e.answer(id, mode)
+	if mode == discoveryUp {
+		e.mu.Lock()
+		if _, ok := e.told[version]; !ok {
+			e.told[version] = e.director.world.now()
 		}
-		conn.WriteToUDP(out, from)
+		e.mu.Unlock()
 	}
+	conn.WriteToUDP(out, to)
+}
+
+// slowDown lets answers come late from now on.
+func (e *discoveryEndpoint) slowDown(delay time.Duration) {
+	e.setMode(discoverySlow)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.delay = delay
 }
 
 // answer packs the list, or what an endpoint in trouble sends instead.
--- a/test/faults/review_test.go
+++ b/test/faults/review_test.go
@@ -117,3 +117,22 @@
 	time.Sleep(usualSettings.deadlines[0])
 	w.report("older lists in a row")
 }
+
+// Guards against a drain that is not noticed while the discovery service is slow: every answer comes seconds after its query,
+// and names the drain.
+func TestDrainIsNoticedInLateAnswers(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 9, 1, 4, usualSettings)
+	w.sessionMs = 3000
+	d := w.directors[0]
+	d.start()
+	w.startViewers(20, steadyViewers)
+	time.Sleep(time.Second)
+	d.discovery.slowDown(5 * time.Second)
+	time.Sleep(3 * time.Second)
+	w.list.set(w.busiestNode(), true, false)
+	time.Sleep(8 * time.Second)
+	w.quiet.Store(true)
+	time.Sleep(usualSettings.deadlines[0])
+	w.report("late answers")
+}
