After the process stood still, set-ups wait for a recent node list

Cause: nothing noticed that the list was from before. Now the event loop reports an iteration that begins over 0.4 s late; if the list was last confirmed over 1.5 s ago, placing waits for an answer to a query sent then, 200 ms at most (discovery.Freshness), and the list goes to the module first. Attempts whose connections came up meanwhile wait too.

The fault tests allow answers and releases the time that a process stood still, and drains none.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -70,6 +70,8 @@
 	closedConns     []*Conn      // closed in this iteration; Closed is called after the iteration's events
 	maxLag          float64      // ms; longest iteration since MaxLag was last called: a ready event waits up to that long
 	onIteration     func()       // called at the end of each iteration
+	onStall         func()       // called at the start of an iteration that comes late
+	stallMs         float64      // time between the starts of two iterations from which the later one comes late
 	localNetwork    netip.Prefix // permitted addresses besides the loopback interface's
 
 	stopping bool // Run returns once no connection lingers
@@ -174,6 +176,13 @@
 // OnIteration sets the function called at the end of each iteration, after its events and timers.
 func (l *Loop) OnIteration(f func()) { l.onIteration = f }
 
+// OnStall sets the function called at the start of an iteration, before its events, that begins more than stallMs after the
+// previous one: the process stood still. Without timers that are due more often, an idle loop counts as stalled too.
+func (l *Loop) OnStall(stallMs float64, f func()) { l.stallMs, l.onStall = stallMs, f }
+
+// Elapsed returns the time since the start of the current iteration, in ms. Now does not advance by it.
+func (l *Loop) Elapsed() float64 { return float64(time.Since(l.start).Microseconds())/1000 - l.now }
+
 // Timer is a scheduled call.
 type Timer struct {
 	dueMs    float64
@@ -222,6 +231,7 @@
 // Run handles events until Stop is called. It closes all sockets before it returns.
 func (l *Loop) Run() error {
 	defer l.closeAll()
+	previousStart := l.now
 	for {
 		wait := -1
 		if len(l.timers) > 0 {
@@ -241,6 +251,10 @@
 		}
 		l.updateNow()
 		iterationStart := l.now
+		if l.onStall != nil && iterationStart-previousStart > l.stallMs {
+			l.onStall()
+		}
+		previousStart = iterationStart
 		for i := range max(n, 0) {
 			l.dispatch(int(l.events[i].Fd), l.events[i].Events)
 		}
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -448,3 +449,19 @@
 		t.Fatalf("%q, %v", got, err)
 	}
 }
+
+// An iteration that begins late is reported before its events.
+func TestStall(t *testing.T) {
+	l, err := New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var order []string
+	l.OnStall(50, func() { order = append(order, "stall") })
+	l.After(1, func() { time.Sleep(80 * time.Millisecond) })
+	l.After(20, func() { order = append(order, "event") })
+	l.After(90, l.Stop)
+	if err := l.Run(); err != nil || len(order) < 2 || order[0] != "stall" || !slices.Contains(order, "event") {
+		t.Fatalf("%v %v", order, err)
+	}
+}
--- a/internal/platform/proxy/nodeconn.go
+++ b/internal/platform/proxy/nodeconn.go
@@ -87,8 +87,7 @@
 	nc.conn.Write(msg)
 }
 
-// Connected implements loop.Handler. It writes the queued messages and the attempts that waited for the connection. If
-// the node was drained or moved meanwhile the attempts are cancelled: no byte has left, so they never ran.
+// Connected implements loop.Handler. It writes the queued messages and the attempts that waited for the connection.
 func (nc *nodeConn) Connected(conn *loop.Conn) {
 	n := nc.node
 	n.proxy.loop.Cancel(nc.connectTimer)
@@ -102,13 +101,23 @@
 	}
 	n.queue = nil
 	n.reportStreamOpened()
-	ready := n.proxy.nodeList.Ready(n.id)
+	if !n.proxy.holding {
+		nc.startAttempts()
+	}
+}
+
+// startAttempts writes the attempts that waited for the connection. If the node was drained or moved meanwhile they are
+// cancelled: no byte has left, so they never ran.
+func (nc *nodeConn) startAttempts() {
+	ready := nc.node.proxy.nodeList.Ready(nc.node.id)
 	for _, a := range nc.attempts {
-		if !ready || nc.addr != n.addr { // draining, or connected to an address that the node has left
+		switch {
+		case a.machine.State() != attempt.StateWaiting || a.written:
+		case !ready || nc.addr != nc.node.addr: // draining, or connected to an address that the node has left
 			a.step(attempt.Event{Kind: attempt.Cancelled})
-			continue
+		default:
+			a.step(attempt.Event{Kind: attempt.Connected})
 		}
-		a.step(attempt.Event{Kind: attempt.Connected})
 	}
 }
 
--- a/internal/platform/proxy/proxy.go
+++ b/internal/platform/proxy/proxy.go
@@ -34,6 +34,7 @@
 import (
 	"log/slog"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -126,6 +127,7 @@
 	log           *slog.Logger
 	module        *headmill.Controller
 	nodeList      *discovery.List
+	freshness     discovery.Freshness
 	healthMonitor *health.Monitor
 	shutdown      *shutdown.Shutdown
 	shutdownTimes shutdown.Config
@@ -136,6 +138,8 @@
 	healthEvents        []health.Event   // queued for the health monitor
 	actions             []headmill.Action
 	flushing            bool
+	holding             bool    // placing waits for a list; see holdPlacing
+	heldLists           int     // node lists at the front of events, while holding
 	unixOffsetMs        float64 // Unix time, ms, at which the loop's clock was 0
 
 	sessions           map[uint64]*session // by protocol id
@@ -189,6 +193,7 @@
 	p.retransmitter = release.New(release.Config{RetentionMs: releaseRetentionMs, RetransmitMs: releaseRetransmitMs,
 		MaxPending: maxReleases}, p)
 	p.earlyEnds = release.EarlyEnds{RetentionMs: releaseRetentionMs, MaxEnds: maxEarlyEnds}
+	p.freshness = discovery.Freshness{MaxAgeMs: propagationMs, MaxHoldMs: maxStallHoldMs}
 	p.discovery.proxy = p
 	if err := eventLoop.SetLocalAddr(cfg.Listen); err != nil {
 		return nil, err
@@ -243,6 +248,7 @@
 		return err
 	}
 	p.loop.OnIteration(p.flush)
+	p.loop.OnStall(stallMs, p.holdPlacing)
 	p.loop.After(sweepIntervalMs, p.sweep)
 	return nil
 }
@@ -271,7 +277,10 @@
 // flush passes the queued events to the decision packages until none is left. It runs at the end of each iteration of
 // the loop, so that all that arrived in one iteration is decided as one batch, in its order.
 func (p *Proxy) flush() {
-	if p.flushing {
+	if p.loop.Elapsed() > stallMs { // the process stood still in this iteration
+		p.holdPlacing()
+	}
+	if p.flushing || p.holding && !p.resumePlacing() {
 		return
 	}
 	p.flushing = true
@@ -293,6 +302,43 @@
 	p.flushing = false
 }
 
+// holdPlacing holds all that waits for a decision, after the process stood still, until the node list is known to be recent.
+func (p *Proxy) holdPlacing() {
+	if p.holding || !p.freshness.Stalled(p.loop.Now()+p.loop.Elapsed()) {
+		return
+	}
+	p.log.Info("the process stood still; placing waits for a node list", "events", len(p.events))
+	p.holding = true
+	p.discovery.queryNow()
+	p.loop.After(maxStallHoldMs+p.loop.Elapsed(), func() {}) // the iteration that ends the wait
+}
+
+// resumePlacing goes on if the node list is known to be recent, or cannot be had. It reports whether it does.
+func (p *Proxy) resumePlacing() bool {
+	if !p.freshness.MayPlace(p.loop.Now()) {
+		return false
+	}
+	p.holding, p.heldLists = false, 0
+	for _, n := range p.nodes {
+		for _, nc := range n.conns {
+			if nc.established {
+				nc.startAttempts()
+			}
+		}
+	}
+	return true
+}
+
+// queueNodeList queues a node list for the module, while placing is held ahead of what waits.
+func (p *Proxy) queueNodeList(ev headmill.Event) {
+	if !p.holding {
+		p.queueEvent(ev)
+		return
+	}
+	p.events = slices.Insert(p.events, p.heldLists, ev)
+	p.heldLists++
+}
+
 // queueEvent queues an event for the decision module.
 func (p *Proxy) queueEvent(ev headmill.Event) { p.events = append(p.events, ev) }
 
@@ -307,7 +353,7 @@
 			"in_force", p.nodeList.Version())
 	}
 	if verdict == discovery.Accepted || len(ev.Nodes) > 0 {
-		p.queueEvent(ev)
+		p.queueNodeList(ev)
 	}
 	if verdict == discovery.Accepted {
 		for i := range list.Entries {
--- a/test/faults/director_test.go
+++ b/test/faults/director_test.go
@@ -38,7 +38,8 @@
 // lifetime is one process of a director. Times are 0 while they have not come.
 type lifetime struct {
 	startedAt, readyAt, termAt, killedAt, exitedAt time.Duration
-	listVersion                                    uint32 // of its configuration
+	listVersion                                    uint32             // of its configuration
+	stalls                                         [][2]time.Duration // when it stood still
 }
 
 // director is one director: an address at which processes follow each other.
@@ -50,6 +51,8 @@
 	logPath    string
 	discovery  *discoveryEndpoint
 
+	stalling sync.Mutex // held while the process stands still; signals wait
+
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	life *lifetime // of the present process, else nil
@@ -176,6 +179,8 @@
 
 // signal sends a signal to the present process.
 func (d *director) signal(sig syscall.Signal) {
+	d.stalling.Lock()
+	defer d.stalling.Unlock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.cmd == nil || d.cmd.Process == nil || d.life.exitedAt > 0 {
@@ -192,6 +197,41 @@
 	go d.world.note("n%d %v", d.index, sig)
 }
 
+// stall lets the present process stand still for a time, unless it is stopping.
+func (d *director) stall(length time.Duration) {
+	d.stalling.Lock()
+	defer d.stalling.Unlock()
+	d.mu.Lock()
+	process, life := d.cmd.Process, d.life
+	running := life != nil && life.readyAt > 0 && life.exitedAt == 0 && life.termAt == 0 && life.killedAt == 0
+	d.mu.Unlock()
+	if !running {
+		return
+	}
+	from := d.world.now()
+	process.Signal(syscall.SIGSTOP)
+	time.Sleep(length)
+	process.Signal(syscall.SIGCONT)
+	d.mu.Lock()
+	life.stalls = append(life.stalls, [2]time.Duration{from, d.world.now()})
+	d.mu.Unlock()
+	d.world.note("n%d stood still from %.3f on", d.index, from.Seconds())
+}
+
+// unchangedSince tells whether nothing befell the process since an earlier record of it.
+func (l *lifetime) unchangedSince(before *lifetime) bool {
+	return l.startedAt == before.startedAt && l.termAt == before.termAt && l.killedAt == before.killedAt &&
+		l.exitedAt == before.exitedAt && len(l.stalls) == len(before.stalls)
+}
+
+// stalledIn tells for how long the process stood still between two times.
+func (l *lifetime) stalledIn(from, to time.Duration) (length time.Duration) {
+	for _, s := range l.stalls {
+		length += max(0, min(s[1], to)-max(s[0], from))
+	}
+	return length
+}
+
 // kill ends the present process at once and waits for its end.
 func (d *director) kill() {
 	d.signal(syscall.SIGKILL)
--- a/test/faults/review_test.go
+++ b/test/faults/review_test.go
@@ -136,3 +136,23 @@
 	time.Sleep(usualSettings.deadlines[0])
 	w.report("late answers")
 }
+
+// Guards against set-ups that are placed by an old list after the director stood still (stall of the review): a media node
+// begins to drain as that starts, so that the director counts as told before it goes on.
+func TestDrainDuringAStallOfTheDirector(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 10, 1, 8, usualSettings)
+	w.sessionMs = 3000
+	d := w.directors[0]
+	d.start()
+	w.startViewers(30, steadyViewers)
+	for range 6 {
+		time.Sleep(1500 * time.Millisecond)
+		n := w.busiestNode()
+		w.after(20*time.Millisecond, func() { w.list.set(n, true, false) })
+		d.stall(2 * time.Second)
+	}
+	w.quiet.Store(true)
+	time.Sleep(usualSettings.deadlines[0])
+	w.report("director stands still")
+}
--- a/test/faults/rules_test.go
+++ b/test/faults/rules_test.go
@@ -62,6 +62,7 @@
 		return
 	}
 	due := r.sentAt + r.wait + lateAnswerLimit + limitSlack
+	due += r.life.stalledIn(r.sentAt, due) // a process can't know how long what it reads has waited
 	switch {
 	case len(r.extraAnswers) > 0:
 		w.broken("second answer (%v) after %d, cause %d at %.3f, left %.3f, resent %v: %v", r.extraAnswers, r.answer,
@@ -150,6 +151,7 @@
 	if !w.couldBeTold(r, due-releaseLimit-limitSlack, due) {
 		due = max(s.endedAt, handed) + releaseFromEnd + limitSlack
 	}
+	due += r.life.stalledIn(min(due, s.endedAt), due)
 	if r.releasedAt > 0 && r.releasedAt <= due {
 		return
 	}
