A failed write loses no input, and after a stop of the process events come before timers

Change: a connection whose write fails is read to its end before it is closed; after EINTR the loop waits again, with no time, before it runs timers.

Measured: TestInputBeforeAFailedWriteIsRead fails without the change.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -33,6 +33,7 @@
 	loop            *Loop
 	handler         Handler
 	closeErr        error
+	writeErr        error // of a failed write; what the peer had sent before is still to be read
 	peer            unix.Sockaddr
 	outBuf          []byte
 	written         int64
@@ -111,7 +112,7 @@
 func (c *Conn) SetHandler(h Handler) { c.handler = h }
 
 // Open reports whether the connection accepts writes.
-func (c *Conn) Open() bool { return c.state == stateOpen && !c.closeAfterFlush }
+func (c *Conn) Open() bool { return c.state == stateOpen && !c.closeAfterFlush && c.writeErr == nil }
 
 // Written returns the number of bytes that the kernel has taken since the connection was established. Zero proves that
 // no byte was sent.
@@ -133,15 +134,16 @@
 	}
 }
 
-// Write sends as much of b as the kernel takes and buffers a copy of the rest. Errors are reported by Closed.
+// Write sends as much of b as the kernel takes and buffers a copy of the rest. Errors are reported by Closed, after what the
+// peer had sent before was read.
 func (c *Conn) Write(b []byte) {
-	if c.state != stateOpen || c.closeAfterFlush {
+	if !c.Open() {
 		return
 	}
 	if len(c.outBuf) == 0 {
 		n, err := c.send(b)
 		if err != nil {
-			c.Close(err)
+			c.writeFailed(err)
 			return
 		}
 		b = b[n:]
@@ -157,6 +159,28 @@
 	c.updateInterest()
 }
 
+// writeFailed has the connection closed once its input has been read: a peer may reset a connection after it has sent what
+// is still unread here.
+func (c *Conn) writeFailed(err error) {
+	c.writeErr, c.outBuf = err, nil
+	c.loop.brokenConns = append(c.loop.brokenConns, c)
+}
+
+// closeBroken reads what the kernel still holds of a connection whose write failed, and closes it.
+func (c *Conn) closeBroken() {
+	for c.state == stateOpen {
+		n, err := unix.Read(c.fd, c.loop.readBuf)
+		if err == unix.EINTR {
+			continue
+		}
+		if err != nil || n == 0 {
+			break
+		}
+		c.handler.Data(c, c.loop.readBuf[:n])
+	}
+	c.Close(c.writeErr)
+}
+
 func (c *Conn) send(b []byte) (int, error) {
 	sent := 0
 	for sent < len(b) {
@@ -180,6 +204,9 @@
 // and discarded for a bounded time: closing a socket with unread input resets the connection, and the peer may lose the
 // response that explains the close (RFC 9112 section 9.6; RFC 6455 section 7.1.1; nginx calls it a lingering close).
 func (c *Conn) CloseGracefully() {
+	if c.writeErr != nil {
+		return // closed at the end of the iteration
+	}
 	if c.state == stateOpen && len(c.outBuf) > 0 {
 		c.closeAfterFlush = true
 		return
@@ -293,10 +320,10 @@
 	if ev&(unix.EPOLLIN|unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
 		c.read(ev)
 	}
-	if c.state == stateOpen && ev&unix.EPOLLOUT != 0 {
+	if c.state == stateOpen && c.writeErr == nil && ev&unix.EPOLLOUT != 0 {
 		n, err := c.send(c.outBuf)
 		if err != nil {
-			c.Close(err)
+			c.writeFailed(err)
 			return
 		}
 		if n < len(c.outBuf) {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -67,6 +67,7 @@
 	events          []unix.EpollEvent
 	lingering       map[int]*lingeringConn
 	maxLingering    int
+	brokenConns     []*Conn      // a write failed in this iteration; they are read and closed after its events
 	closedConns     []*Conn      // closed in this iteration; Closed is called after the iteration's events
 	maxLag          float64      // ms; longest iteration since MaxLag was last called: a ready event waits up to that long
 	onIteration     func()       // called at the end of each iteration
@@ -242,11 +243,14 @@
 				wait = int(min(remaining+0.999, 1e9))
 			}
 		}
-		if len(l.closedConns) > 0 {
+		if len(l.closedConns)+len(l.brokenConns) > 0 {
 			wait = 0
 		}
 		n, err := unix.EpollWait(l.epollFD, l.events, wait)
-		if err != nil && err != unix.EINTR {
+		for err == unix.EINTR { // a stopped process goes on; timers must not come before the events that it finds
+			n, err = unix.EpollWait(l.epollFD, l.events, 0)
+		}
+		if err != nil {
 			return fmt.Errorf("loop: epoll_wait: %w", err)
 		}
 		l.updateNow()
@@ -302,7 +306,12 @@
 // notifyClosed calls Closed for the connections that closed in this iteration. It runs after the iteration's events so
 // that a handler is never re-entered from within one of its own calls.
 func (l *Loop) notifyClosed() {
-	for len(l.closedConns) > 0 {
+	for len(l.closedConns)+len(l.brokenConns) > 0 {
+		broken := l.brokenConns
+		l.brokenConns = nil
+		for _, c := range broken {
+			c.closeBroken()
+		}
 		conns := l.closedConns
 		l.closedConns = nil
 		for _, c := range conns {
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -465,3 +465,42 @@
 		t.Fatalf("%v %v", order, err)
 	}
 }
+
+// Guards against what a peer has sent and that is lost when a write fails: the peer has reset the connection after it.
+func TestInputBeforeAFailedWriteIsRead(t *testing.T) {
+	accepted := make(chan *Conn, 1)
+	handler := &recordingHandler{closed: make(chan struct{})}
+	l, addr := startLoop(t, func(c *Conn) Handler { accepted <- c; return handler })
+	peer, err := net.Dial("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := <-accepted
+	l.Post(func() {
+		peer.Write([]byte("last words"))
+		peer.(*net.TCPConn).SetLinger(0)
+		peer.Close()
+		for deadline := time.Now().Add(5 * time.Second); c.writeErr == nil && time.Now().Before(deadline); {
+			c.Write([]byte("x"))
+		}
+		if c.Open() {
+			t.Error("the connection accepts further writes")
+		}
+	})
+	<-handler.closed
+	if handler.data != "last words" || handler.err == nil {
+		t.Fatalf("%q, %v", handler.data, handler.err)
+	}
+}
+
+// recordingHandler keeps what it receives.
+type recordingHandler struct {
+	data   string
+	err    error
+	closed chan struct{}
+}
+
+func (h *recordingHandler) Connected(*Conn)           {}
+func (h *recordingHandler) Flushed(*Conn)             {}
+func (h *recordingHandler) Data(_ *Conn, b []byte)    { h.data += string(b) }
+func (h *recordingHandler) Closed(_ *Conn, err error) { h.err = err; close(h.closed) }
