Sessions that a successor at the address plays are kept, those of the old process end at once

Once the list told of the change the director gave all sessions of the old id up, and neither kept nor ended those at the successor; their seats were given again.

Cause: sessions were taken for the id's that was meant, not for the process's that answered. Now the successor's start, which the list tells, decides: sessions answered on a connection from before it are over, later ones are kept.

Measured: TestSessionsAtASuccessor fails without the change. TestAddressReassignedToAnotherNode now lists the successor with a start, as the service does.

--- a/internal/platform/proxy/medianode.go
+++ b/internal/platform/proxy/medianode.go
@@ -150,10 +150,34 @@
 	return nc
 }
 
-// addrReassigned reports whether the media node is no longer listed and another one has its address. What answers there
-// then proves nothing about this node.
+// addrReassigned reports whether the media node is no longer listed, another one has its address, and none of its sessions
+// plays there. What answers at the address then proves nothing about this node.
 func (n *mediaNode) addrReassigned() bool {
-	return !n.proxy.nodeList.Listed(n.id) && n.proxy.nodeList.AddrInUse(n.addr)
+	successorStartedAt, ok := n.proxy.nodeList.Successor(n.id, n.addr)
+	if !ok {
+		return false
+	}
+	for _, s := range n.sessions {
+		if s.playsAtSuccessor(successorStartedAt) {
+			return false
+		}
+	}
+	return true
+}
+
+// loseReplacedSessions ends the sessions that ended with their process, as another one has its address. Those that were set
+// up since then, before the list said so, play at the successor.
+func (n *mediaNode) loseReplacedSessions() {
+	successorStartedAt, ok := n.proxy.nodeList.Successor(n.id, n.addr)
+	if !ok {
+		return
+	}
+	for _, s := range n.sessions {
+		if !s.playsAtSuccessor(successorStartedAt) {
+			n.proxy.stats.Lost++
+			n.proxy.sessionLost(s, false)
+		}
+	}
 }
 
 // removeConn takes a connection out of the pool. Its attempts learn of the end by Closed.
--- a/internal/platform/proxy/nodeconn.go
+++ b/internal/platform/proxy/nodeconn.go
@@ -21,6 +21,7 @@
 	addr           string // dialled address; the node's address may change later
 	localAddr      string // of the established connection, for the log
 	established    bool
+	connectedAt    float64 // Unix time, ms, at which it came up
 	reader         frame.Reader
 	attempts       map[uint64]*setupAttempt // by protocol id of the session
 	partialSince   float64                  // loop time, ms, since which a message is incomplete
@@ -93,7 +94,7 @@
 	n.proxy.loop.Cancel(nc.connectTimer)
 	n.needsNewConn = false
 	nc.established, nc.lastHeard = true, n.proxy.loop.Now()
-	nc.localAddr = conn.LocalAddr()
+	nc.localAddr, nc.connectedAt = conn.LocalAddr(), n.proxy.now()
 	n.proxy.log.Debug("media node connection established", "host", n.name, "local", nc.localAddr, "probe", nc.probe,
 		"conns", len(n.conns), "sessions", len(n.sessions))
 	for _, msg := range n.queue {
--- a/internal/platform/proxy/proxy.go
+++ b/internal/platform/proxy/proxy.go
@@ -362,6 +362,9 @@
 				n.changeAddr(entry.Addr)
 			}
 		}
+		for _, n := range p.nodes {
+			n.loseReplacedSessions()
+		}
 	}
 	return err
 }
--- a/internal/platform/proxy/race_test.go
+++ b/internal/platform/proxy/race_test.go
@@ -253,7 +253,7 @@
 	node.anyConn()
 	h.runOnLoop(func() {
 		if err := h.proxy.applyNodeList(&discovery.Message{Version: 9, Full: true, Entries: []discovery.Entry{
-			{Name: "s-new", Addr: node.listener.Addr().String(), State: "ready", Weight: 1}}}); err != nil {
+			{Name: "s-new", Addr: node.listener.Addr().String(), State: "ready", Weight: 1, StartedAtMs: h.proxy.now()}}}); err != nil {
 			t.Error(err)
 		}
 	})
@@ -263,6 +263,37 @@
 	}
 }
 
+// Guards against sessions that are given up though they play: their set-ups reached the successor at the address before the
+// list told of it. Those from before the successor's start are lost at once.
+func TestSessionsAtASuccessor(t *testing.T) {
+	h := startHarness(t, 1, nil)
+	v := h.dialViewer()
+	h.playSession(v, id1)
+	h.nodes[0].resetConns() // as the process ends
+	h.waitForClock()
+	startedAt := h.proxy.unixOffsetMs + h.waitForClock()
+	_, setup2 := h.playSession(v, id2)
+	h.runOnLoop(func() {
+		if err := h.proxy.applyNodeList(&discovery.Message{Version: 9, Full: true, Entries: []discovery.Entry{
+			{Name: "s-new", Addr: h.nodes[0].listener.Addr().String(), State: "ready", Weight: 1, StartedAtMs: startedAt - 2}}}); err != nil {
+			t.Error(err)
+		}
+	})
+	if reply := v.receive(); reply.Type != "release" || reply.ID != id1 || reply.Cause != causeReset {
+		t.Fatalf("%+v", reply)
+	}
+	node := h.session(id2).node
+	h.runOnLoop(func() {
+		if node.addrReassigned() {
+			t.Error("the address of a session that plays is taken for another's")
+		}
+	})
+	setup2.sendRelease(causeNormal)
+	if reply := v.receive(); reply.Type != "release" || reply.ID != id2 || reply.Cause != causeNormal {
+		t.Fatalf("%+v", reply)
+	}
+}
+
 // A release is written to a connection that the media node is just resetting: it is repeated on another one.
 func TestReleaseLostWithItsConnection(t *testing.T) {
 	h := startHarness(t, 1, nil)
--- a/internal/platform/proxy/session.go
+++ b/internal/platform/proxy/session.go
@@ -47,12 +47,19 @@
 	title          string
 	sdp            string  // held until the session plays
 	deadline       float64 // loop time, ms, at which the viewer gives up
+	connectedAt    float64 // Unix time, ms, at which the connection came up that it was answered on; 0: unknown
 	answerEnd      int64   // value of the viewer connection's Written once the whole answer has left
 	node           *mediaNode
 	attempt        *setupAttempt
 	endTimer       *loop.Timer // runs in stateEnding
 }
 
+// playsAtSuccessor reports whether the session plays at the process that has run at its media node's address since startedAt
+// (Unix time, ms), after another one. 0: that is not known.
+func (s *session) playsAtSuccessor(startedAt float64) bool {
+	return startedAt > 0 && s.connectedAt >= startedAt
+}
+
 // rejectSetup answers a set-up with a release and removes the session.
 func (p *Proxy) rejectSetup(s *session, cause int, waitMs float64) {
 	if v := s.viewer; v != nil {
