What a media node sends on a connection that breaks as it comes up, or for its predecessor's id, counts

Sessions are now found by the address as well.

Measured: TestInputOfAConnectionResetAsItComesUp fails without the change.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -309,7 +309,7 @@
 			err = unix.Errno(code)
 		}
 		if err != nil {
-			c.Close(fmt.Errorf("%w: %w", ErrConnectFailed, err))
+			c.connectFailed(err)
 			return
 		}
 		c.state = stateOpen
@@ -340,6 +340,20 @@
 	}
 }
 
+// connectFailed closes a dialled connection with an error. If the peer has sent something it was established in the meantime,
+// and what was sent is delivered.
+func (c *Conn) connectFailed(err error) {
+	n, readErr := unix.Read(c.fd, c.loop.readBuf)
+	if readErr != nil || n <= 0 {
+		c.Close(fmt.Errorf("%w: %w", ErrConnectFailed, err))
+		return
+	}
+	c.state, c.writeErr = stateOpen, err // nothing can be written any more
+	c.handler.Connected(c)
+	c.handler.Data(c, c.loop.readBuf[:n])
+	c.closeBroken()
+}
+
 // ReadAvailable delivers the input that the kernel holds at the moment, before its owner closes the connection. It must not
 // be called from a handler's Data.
 func (c *Conn) ReadAvailable() {
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -504,3 +504,31 @@
 func (h *recordingHandler) Flushed(*Conn)             {}
 func (h *recordingHandler) Data(_ *Conn, b []byte)    { h.data += string(b) }
 func (h *recordingHandler) Closed(_ *Conn, err error) { h.err = err; close(h.closed) }
+
+// Guards against what a peer has sent on a connection that came up and was reset before the loop noticed either.
+func TestInputOfAConnectionResetAsItComesUp(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	handler := &recordingHandler{closed: make(chan struct{})}
+	l, _ := startLoop(t, func(*Conn) Handler { return nil })
+	l.Post(func() {
+		if _, err := l.Dial(listener.Addr().String(), handler); err != nil {
+			t.Error(err)
+		}
+		peer, err := listener.Accept()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		peer.Write([]byte("last words"))
+		peer.(*net.TCPConn).SetLinger(0)
+		peer.Close()
+	})
+	<-handler.closed
+	if handler.data != "last words" || handler.err == nil {
+		t.Fatalf("%q, %v", handler.data, handler.err)
+	}
+}
--- a/internal/platform/proxy/medianode.go
+++ b/internal/platform/proxy/medianode.go
@@ -188,6 +188,19 @@
 	}
 }
 
+// sessionAtAddr finds a session that plays at the media node, or that is held for another id of the same address: the set-up
+// of one that plays at a successor was sent to the id before.
+func (n *mediaNode) sessionAtAddr(id uint64) *session {
+	if s := n.sessions[id]; s != nil {
+		return s
+	}
+	s := n.proxy.sessions[id]
+	if s == nil || s.state == statePending || s.node.addr != n.addr {
+		return nil
+	}
+	return s
+}
+
 // changeAddr sets a new address. Existing connections lead to whatever was at the old one, so none is used for anything
 // new; one that carries a set-up is closed once that has its outcome.
 func (n *mediaNode) changeAddr(addr string) {
--- a/internal/platform/proxy/nodeconn.go
+++ b/internal/platform/proxy/nodeconn.go
@@ -97,10 +97,12 @@
 	nc.localAddr, nc.connectedAt = conn.LocalAddr(), n.proxy.now()
 	n.proxy.log.Debug("media node connection established", "host", n.name, "local", nc.localAddr, "probe", nc.probe,
 		"conns", len(n.conns), "sessions", len(n.sessions))
-	for _, msg := range n.queue {
-		conn.Write(msg)
+	if conn.Open() { // else it has broken already
+		for _, msg := range n.queue {
+			conn.Write(msg)
+		}
+		n.queue = nil
 	}
-	n.queue = nil
 	n.reportStreamOpened()
 	if !n.proxy.holding {
 		nc.startAttempts()
@@ -212,7 +214,7 @@
 		if a := nc.attempts[msg.Session]; a != nil {
 			a.report = report
 			a.handleRelease(msg.Cause())
-		} else if s := node.sessions[msg.Session]; s != nil {
+		} else if s := node.sessionAtAddr(msg.Session); s != nil {
 			outcome := headmill.OutcomeReset
 			cause := int(msg.Cause())
 			switch cause {
