Test of players that don't read: either reason of the disconnect counts, and the bound is measured

Traced with a copy of it that prints the director's sockets: in a failing run the client's write blocks until its time-out of 10 s, while the director has closed the connection for its unanswered ping (no socket left, none counted as slow). The kernel passes on no input from a peer whose receive buffer is full, so the director is silent towards it before its own output bound is reached.

The test asked for the counter of slow readers, which is one of two rightful reasons.

--- a/internal/director/websocket_test.go
+++ b/internal/director/websocket_test.go
@@ -403,17 +403,31 @@
 	if err != nil || !strings.HasPrefix(string(b), "HTTP/1.1 101 ") || !strings.HasSuffix(string(b), "\x89\x00") {
 		t.Errorf("%q %v", b, err)
 	}
-	// A player that never reads is disconnected, and its output is not buffered without limit.
+	// A player that never reads is disconnected, as a slow reader or, where the kernel stops passing on its input as well, for
+	// its silence; its output is not buffered without limit.
+	most := 0
+	pendingOutput := func() int {
+		return env.onLoop(func() int {
+			pending, _ := env.director.pendingOutput()
+			return pending
+		})
+	}
 	c = handshake()
 	c.SetWriteDeadline(time.Now().Add(10 * time.Second))
 	ping := append([]byte{0x89, 0x80 | 100, 0, 0, 0, 0}, make([]byte, 100)...)
-	for {
+	for i := 0; ; i++ {
 		if _, err := c.Write(ping); err != nil {
 			break
 		}
+		if i%1000 == 0 {
+			most = max(most, pendingOutput())
+		}
 	}
 	env.waitUntil("it is disconnected",
-		func() bool { return env.onLoop(func() int { return int(env.director.Stats().SlowReaders) }) == 1 })
+		func() bool { return env.onLoop(func() int { return len(env.director.webSockets) }) == 0 })
+	if most = max(most, pendingOutput()); most > 16384 {
+		t.Errorf("%d bytes of output were pending", most)
+	}
 }
 
 // Invalid opening handshakes get the matching status (RFC 6455 section 4.2).
