--- /dev/null
+++ b/internal/platform/proxy/hold.go
@@ -0,0 +1,46 @@
+package proxy
+
+import (
+	"slices"
+
+	"headmill"
+)
+
+// After the process stood still, decisions wait for a recent node list; decide/discovery.Freshness says how long.
+
+// holdPlacing holds all that waits for a decision, after the process stood still, until the node list is known to be recent.
+func (p *Proxy) holdPlacing() {
+	if p.holding || !p.freshness.Stalled(p.loop.Now()+p.loop.Elapsed()) {
+		return
+	}
+	p.log.Info("the process stood still; placing waits for a node list", "events", len(p.events))
+	p.holding = true
+	p.discovery.queryNow()
+	p.loop.After(maxStallHoldMs+p.loop.Elapsed(), func() {}) // the iteration that ends the wait
+}
+
+// resumePlacing goes on if the node list is known to be recent, or cannot be had. It reports whether it does.
+func (p *Proxy) resumePlacing() bool {
+	if !p.freshness.MayPlace(p.loop.Now()) {
+		return false
+	}
+	p.holding, p.heldLists = false, 0
+	for _, n := range p.nodes {
+		for _, nc := range n.conns {
+			if nc.established {
+				nc.startAttempts()
+			}
+		}
+	}
+	return true
+}
+
+// queueNodeList queues a node list for the module, while placing is held ahead of what waits.
+func (p *Proxy) queueNodeList(ev headmill.Event) {
+	if !p.holding {
+		p.queueEvent(ev)
+		return
+	}
+	p.events = slices.Insert(p.events, p.heldLists, ev)
+	p.heldLists++
+}
--- a/internal/platform/proxy/proxy.go
+++ b/internal/platform/proxy/proxy.go
@@ -33,8 +33,6 @@
 
 import (
 	"log/slog"
-	"math"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -83,14 +81,6 @@
 	// releaseRetransmitMs is the time to wait for a confirmation before the release is repeated: a third of the second
 	// within which a viewer must be notified (PROTOCOL, "The rules on sockets").
 	releaseRetransmitMs = 333.0
-	// notificationMarginMs is the part of releaseRetentionMs that is kept for the release of a session that is given up:
-	// for a late event loop, and for repeating the release on further connections.
-	notificationMarginMs = 1000.0
-	// maxConnectDelayMs is the time by which a connection to a media node that runs may come up late (FLEET, "join+mass").
-	maxConnectDelayMs = 1000.0
-	// lostRetentionMs is the longest time for which a media node that could not be reached may come back with the sessions
-	// that were given up there (BRIEF, "go silent").
-	lostRetentionMs = 30000.0
 	// maxEarlyEnds limits the remembered ends of sessions that viewers have not named.
 	maxEarlyEnds = 512
 	// maxUsualLagMs is the longest iteration of the event loop that is not logged.
@@ -202,35 +192,6 @@
 	return p, nil
 }
 
-// healthConfig sets when a silent media node is probed with a connection, and when its sessions are given up. What
-// decide/health calls the event stream of a media node is any established connection here.
-//
-// Whatever the settings say, viewers are notified of a lost session within releaseRetentionMs, the limit of the protocol,
-// which runs from the last moment at which the media node was heard. No session is given up earlier than that limit
-// demands: silence alone proves nothing, as a media node may have nothing to send (with reports every five seconds it
-// usually has not) and may be cut off for a moment. It is probed in time for two connections in a row that come up late;
-// one that does come up proves that the media node is there.
-func healthConfig(cfg *Config) health.Config {
-	nodeTimeout := releaseRetentionMs - notificationMarginMs
-	retry := math.Min(cfg.ConnectMs/4, maxConnectDelayMs/4)
-	probes := 2*(probeTimeoutMs(cfg)+sweepIntervalMs) + retry // two in a row
-	return health.Config{
-		StreamTimeoutMs: nodeTimeout - probes,
-		NodeTimeoutMs:   nodeTimeout,
-		MinRetryMs:      retry,
-		MaxRetryMs:      math.Min(2*cfg.ConnectMs, maxConnectDelayMs),
-		IdleTimeoutMs:   cfg.KeepAliveMs / 3,                     // before the media node closes the connection as idle
-		OpenTimeoutMs:   probeTimeoutMs(cfg) + sweepIntervalMs/2, // after dialProbe's, which reports the failure first
-		LostRetentionMs: lostRetentionMs,
-	}
-}
-
-// probeTimeoutMs is the time that a connection may take which is opened to find out whether a media node is alive. It may
-// come up late, beyond the connect timeout for set-ups, and proves as much then.
-func probeTimeoutMs(cfg *Config) float64 {
-	return math.Min(maxConnectDelayMs+cfg.ConnectMs, (releaseRetentionMs-notificationMarginMs)/4)
-}
-
 // Start applies the configured node list, starts to query the discovery service and accepts viewers.
 func (p *Proxy) Start() error {
 	known, err := p.cfg.Snapshot.Message(p.cfg.Vocabulary)
@@ -302,43 +263,6 @@
 	p.flushing = false
 }
 
-// holdPlacing holds all that waits for a decision, after the process stood still, until the node list is known to be recent.
-func (p *Proxy) holdPlacing() {
-	if p.holding || !p.freshness.Stalled(p.loop.Now()+p.loop.Elapsed()) {
-		return
-	}
-	p.log.Info("the process stood still; placing waits for a node list", "events", len(p.events))
-	p.holding = true
-	p.discovery.queryNow()
-	p.loop.After(maxStallHoldMs+p.loop.Elapsed(), func() {}) // the iteration that ends the wait
-}
-
-// resumePlacing goes on if the node list is known to be recent, or cannot be had. It reports whether it does.
-func (p *Proxy) resumePlacing() bool {
-	if !p.freshness.MayPlace(p.loop.Now()) {
-		return false
-	}
-	p.holding, p.heldLists = false, 0
-	for _, n := range p.nodes {
-		for _, nc := range n.conns {
-			if nc.established {
-				nc.startAttempts()
-			}
-		}
-	}
-	return true
-}
-
-// queueNodeList queues a node list for the module, while placing is held ahead of what waits.
-func (p *Proxy) queueNodeList(ev headmill.Event) {
-	if !p.holding {
-		p.queueEvent(ev)
-		return
-	}
-	p.events = slices.Insert(p.events, p.heldLists, ev)
-	p.heldLists++
-}
-
 // queueEvent queues an event for the decision module.
 func (p *Proxy) queueEvent(ev headmill.Event) { p.events = append(p.events, ev) }
 
@@ -406,37 +330,6 @@
 	}
 }
 
-// applyHealthAction carries out an action of the health monitor.
-func (p *Proxy) applyHealthAction(action health.Action) {
-	n := p.nodes[headmill.NodeID(action.Node)]
-	if n == nil {
-		return
-	}
-	switch action.Kind {
-	case health.OpenStream:
-		n.ensureConn()
-	case health.CancelOpen:
-		n.cancelProbe()
-	case health.CloseStream:
-		p.log.Debug("media node is unused", "host", n.name, "conns", len(n.conns), "sessions", len(n.sessions))
-		n.closeUnusedConns()
-	case health.SessionLost:
-		if s := p.sessionsByModuleID[headmill.SessionID(action.Session)]; s != nil && s.state != statePending {
-			p.stats.Lost++
-			p.sessionLost(s, action.MayPlay)
-		}
-	case health.EndOrphan:
-		if lost := n.lost[headmill.SessionID(action.Session)]; lost != nil {
-			p.log.Info("lost session is ended at its media node", "id", logID(lost.id), "host", n.name)
-			n.sendRelease(lost.id, p.loop.Now())
-		}
-	case health.LostSessionGone:
-		n.removeLost(headmill.SessionID(action.Session), headmill.OutcomeCancelled, headmill.LoadReport{})
-	case health.NodeDown:
-		p.log.Warn("media node is down; its sessions are given up", "host", n.name, "sessions", action.Count)
-	}
-}
-
 // parseReport reads a load report, NAME:VALUE;..., with the names from the settings.
 func (p *Proxy) parseReport(b []byte) headmill.LoadReport {
 	text := string(b)
--- a/internal/platform/proxy/session.go
+++ b/internal/platform/proxy/session.go
@@ -54,12 +54,6 @@
 	endTimer       *loop.Timer // runs in stateEnding
 }
 
-// playsAtSuccessor reports whether the session plays at the process that has run at its media node's address since startedAt
-// (Unix time, ms), after another one. 0: that is not known.
-func (s *session) playsAtSuccessor(startedAt float64) bool {
-	return startedAt > 0 && s.connectedAt >= startedAt
-}
-
 // rejectSetup answers a set-up with a release and removes the session.
 func (p *Proxy) rejectSetup(s *session, cause int, waitMs float64) {
 	if v := s.viewer; v != nil {
