All messages of a read are handled, also where the reply to the first finds the connection reset

Now input is handled as long as this side has not closed the connection (loop.Conn.Receiving), for media nodes and viewers.

Measured: TestReleasesBeforeAReset fails without the change.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -114,6 +114,10 @@
 // Open reports whether the connection accepts writes.
 func (c *Conn) Open() bool { return c.state == stateOpen && !c.closeAfterFlush && c.writeErr == nil }
 
+// Receiving reports whether input is still to be handled: also after a write has failed, since the peer may have sent it
+// before.
+func (c *Conn) Receiving() bool { return c.state == stateOpen && !c.closeAfterFlush }
+
 // Written returns the number of bytes that the kernel has taken since the connection was established. Zero proves that
 // no byte was sent.
 func (c *Conn) Written() int64 { return c.written }
--- a/internal/platform/proxy/nodeconn.go
+++ b/internal/platform/proxy/nodeconn.go
@@ -136,7 +136,7 @@
 	err := nc.reader.Feed(data, func(msg *frame.Message) bool {
 		wasPartial = false // an incomplete message after this one is a new one
 		nc.handleMessage(msg)
-		return conn.Open()
+		return conn.Receiving()
 	})
 	if err != nil {
 		nc.closeMalformed(err)
--- a/internal/platform/proxy/race_test.go
+++ b/internal/platform/proxy/race_test.go
@@ -532,6 +532,30 @@
 	}
 }
 
+// Guards against releases that are lost since the confirmation of another one, before them in the same read, finds the
+// connection reset.
+func TestReleasesBeforeAReset(t *testing.T) {
+	h := startHarness(t, 1, nil)
+	v := h.dialViewer()
+	_, setup := h.playSession(v, id1)
+	if _, setup2 := h.playSession(v, id2); setup2.conn != setup.conn {
+		t.Fatal("two connections: the test proves nothing")
+	}
+	conn := h.session(id1).node.conns[0].conn
+	h.runOnLoop(func() {
+		setup.conn.Write(frame.AppendRelease(frame.AppendRelease(nil, 0xa1, causeNormal), 0xa2, causeNormal))
+		setup.conn.(*net.TCPConn).SetLinger(0)
+		setup.conn.Close()
+		waitForInput(conn)
+		time.Sleep(10 * time.Millisecond) // for the reset
+	})
+	for _, id := range []string{id1, id2} {
+		if reply := v.receive(); reply.Type != "release" || reply.ID != id || reply.Cause != causeNormal {
+			t.Fatalf("%+v", reply)
+		}
+	}
+}
+
 // Guards against connections that multiply: each one that is closed as silent, but the last, was replaced by a new one.
 func TestSilentCloseOpensNoConnections(t *testing.T) {
 	h := startHarness(t, 1, nil)
--- a/internal/platform/proxy/viewer.go
+++ b/internal/platform/proxy/viewer.go
@@ -123,7 +123,7 @@
 		}
 		v.proxy.stepConnManager(connmgr.Event{Kind: connmgr.Received, Conn: v.id, Partial: len(v.partialLine) > 0})
 	}()
-	for len(data) > 0 && conn.Open() {
+	for len(data) > 0 && conn.Receiving() {
 		end := bytes.IndexByte(data, '\n')
 		if len(v.partialLine)+len(data) > jsonline.MaxSize && (end < 0 || len(v.partialLine)+end > jsonline.MaxSize) {
 			v.closeMalformed(errors.New("line is longer than 16 KiB"))
