--- a/test/faults/nodefreeze_test.go
+++ b/test/faults/nodefreeze_test.go
@@ -109,6 +109,10 @@
 	f.held = false
 }
 
+// connectRetryGap is the time after a hold in which the kernel sends a connect of the hold again, 1 s after the first time. In a
+// further hold it would be dropped once more, and come up later than the second that the pages allow.
+const connectRetryGap = 1050 * time.Millisecond
+
 // holdConnects lets new connections come up late, after up to a time. If reset is set they are reset as they come up.
 func (n *mediaNode) holdConnects(length time.Duration, reset bool) {
 	n.mu.Lock()
--- a/test/faults/review_test.go
+++ b/test/faults/review_test.go
@@ -62,6 +62,7 @@
 			n := w.busiestNode()
 			for until := time.Now().Add(20 * time.Second); time.Now().Before(until); {
 				n.holdConnects(950*time.Millisecond, false)
+				time.Sleep(connectRetryGap)
 			}
 			w.quiet.Store(true)
 			time.Sleep(s.deadlines[0])
--- a/test/faults/soak_test.go
+++ b/test/faults/soak_test.go
@@ -290,6 +290,7 @@
 			reset := rng.Float64() < 0.3
 			for range 1 + rng.IntN(4) { // several in a row
 				n.holdConnects(time.Duration(50+rng.IntN(900))*time.Millisecond, reset)
+				time.Sleep(connectRetryGap)
 			}
 			n.unclaim()
 		}
