Log each release of a media node, and what was heard on a connection that closes

Each release is now logged with the connection it came on and whether its session plays there, and the end of a connection with the time since its last bytes and the connections that are left. Debug level; behaviour as it was.

--- a/internal/platform/proxy/nodeconn.go
+++ b/internal/platform/proxy/nodeconn.go
@@ -170,7 +170,8 @@
 	n.proxy.loop.Cancel(nc.connectTimer)
 	n.removeConn(nc)
 	n.proxy.log.Debug("media node connection closed", "host", n.name, "error", err, "established", nc.established,
-		"attempts", len(nc.attempts), "local", nc.localAddr, "sessions", len(n.sessions))
+		"attempts", len(nc.attempts), "local", nc.localAddr, "sessions", len(n.sessions),
+		"heard", nc.heard, "silent_ms", n.proxy.loop.Now()-nc.lastHeard, "conns", len(n.conns))
 	if loop.IsConnRefused(err) { // no process runs there, so there is none to send messages to
 		n.queue = nil
 	}
@@ -211,6 +212,8 @@
 		}
 	case frame.Release:
 		report := p.parseReport(msg.Get(frame.Report))
+		p.log.Debug("release received from media node", "id", logID(msg.Session), "host", node.name, "cause", msg.Cause(),
+			"local", nc.localAddr, "plays", node.sessions[msg.Session] != nil)
 		if a := nc.attempts[msg.Session]; a != nil {
 			a.report = report
 			a.handleRelease(msg.Cause())
