Releases and rungs to media nodes that may be lost with a connection are sent again

Callers would see a session that plays on with nobody to watch it, or one that keeps its old rung.

Cause: only releases written by sendRelease were remembered for the end of their connection. Not so rungs, which were never sent again, and what waited for a connection and was written as it came up. And an orderly close counted as a proof that all written over a second before was read: also where the media node had closed before, and the director stood still before it read that.

Change: decide/redelivery.SentMessages, pure, holds what was sent on a connection; a message counts as unread for a second, and for 20 s while nothing was heard on the connection since, whichever way that ends, but for a close by this side with nothing unsent.

--- a/internal/platform/proxy/attempt.go
+++ b/internal/platform/proxy/attempt.go
@@ -6,6 +6,7 @@
 
 	"headmill"
 	"headmill/decide/attempt"
+	"headmill/decide/redelivery"
 	"headmill/internal/loop"
 	"headmill/internal/platform/frame"
 	"headmill/internal/platform/jsonline"
@@ -77,7 +78,7 @@
 			}
 		case attempt.CloseConnection: // the connection stays open, since it may carry other set-ups
 			if a.conn != nil && a.written {
-				a.conn.sendRelease(a.session.id, a.proxy.loop.Now())
+				a.conn.sendRelease(a.session.id)
 			}
 			a.detach()
 		case attempt.KeepConnection:
@@ -135,7 +136,7 @@
 	p.outBuf = jsonline.AppendAnswer(p.outBuf[:0], s.id, sdp)
 	if len(p.outBuf) > jsonline.MaxSize {
 		p.stats.Spoilt++
-		a.conn.sendRelease(s.id, p.loop.Now())
+		a.conn.sendRelease(s.id)
 		a.endAsConnClosed()
 		return
 	}
@@ -202,13 +203,11 @@
 	if s.rung == s.sentRung {
 		return
 	}
-	out, start := frame.Begin(nil, frame.Rate, s.id)
-	msg := frame.End(frame.AppendParameter(out, frame.Rung, strconv.Itoa(s.rung)), start)
 	switch {
 	case s.state == statePlaying:
-		s.node.sendMessage(msg)
+		s.node.sendMessage(redelivery.Message{Session: s.id, Kind: redelivery.Rung})
 	case s.state == statePending && s.attempt != nil && s.attempt.written && s.attempt.conn != nil:
-		s.attempt.conn.conn.Write(msg)
+		s.attempt.conn.conn.Write(appendRung(nil, s))
 	default:
 		return
 	}
--- a/internal/platform/proxy/medianode.go
+++ b/internal/platform/proxy/medianode.go
@@ -7,7 +7,6 @@
 	"headmill"
 	"headmill/decide/redelivery"
 	"headmill/internal/loop"
-	"headmill/internal/platform/frame"
 )
 
 const (
@@ -24,15 +23,6 @@
 	maxNodeOutput = 64 << 10
 	// unusedNodeTTLMs is the time after which the state of a listed but unused media node is dropped.
 	unusedNodeTTLMs = 60000.0
-	// queueTTLMs is the time for which messages are kept while no connection can be opened: longer than
-	// releaseRetentionMs.
-	queueTTLMs = 20000.0
-	// releaseLossWindowMs is the time before a connection's end in which a release written on it may have been lost. A
-	// release is repeated for no longer than this after it was first written.
-	releaseLossWindowMs = 1000.0
-	// maxQueuedMessages limits the messages queued for a media node while no connection is established; further ones
-	// are dropped.
-	maxQueuedMessages = 256
 )
 
 // mediaNode is a media node with its connection pool and the sessions that this director has there.
@@ -44,10 +34,10 @@
 	conns       []*nodeConn
 	sessions    map[uint64]*session // playing or ending, by protocol id
 	lost        map[headmill.SessionID]*lostSession
-	queue       [][]byte // messages about sessions, kept until a connection is established
-	queuedSince float64  // loop time, ms, of the first message in queue
-	lastUsed    float64  // loop time, ms
-	silentSince float64  // loop time, ms, at which it was last found silent; see nodeConn.proven
+	queue       []redelivery.Message // kept until a connection is established
+	queuedSince float64              // loop time, ms, of the first message in queue
+	lastUsed    float64              // loop time, ms
+	silentSince float64              // loop time, ms, at which it was last found silent; see nodeConn.proven
 	redelivery  *redelivery.Schedule
 }
 
@@ -73,42 +63,6 @@
 	}
 }
 
-// sendRelease ends a session at the media node, on any established connection or on the next one.
-func (n *mediaNode) sendRelease(id uint64, firstSentAt float64) {
-	if nc := n.messageConn(); nc != nil {
-		nc.sendRelease(id, firstSentAt)
-		return
-	}
-	n.sendMessage(frame.AppendRelease(nil, id, causeNormal))
-}
-
-// sendMessage writes a message about a session, on any established connection or on the next one.
-func (n *mediaNode) sendMessage(msg []byte) {
-	if nc := n.messageConn(); nc != nil {
-		nc.write(msg)
-		return
-	}
-	if len(n.queue) == 0 {
-		n.queuedSince = n.proxy.loop.Now()
-	}
-	if len(n.queue) < maxQueuedMessages {
-		n.queue = append(n.queue, msg)
-	}
-	n.dialForQueue()
-}
-
-// dialForQueue opens a connection for queued messages, for up to queueTTLMs. Without it a session whose release is
-// queued would play on.
-func (n *mediaNode) dialForQueue() {
-	switch {
-	case len(n.queue) == 0 || len(n.conns) > 0:
-	case n.proxy.loop.Now()-n.queuedSince > queueTTLMs, n.addrReassigned():
-		n.queue = nil
-	default:
-		n.dial()
-	}
-}
-
 // sweep closes connections with an overdue incomplete message and unused ones near their idle timeout. It drops the
 // state of media nodes that are no longer listed or long unused.
 func (n *mediaNode) sweep(now float64) {
--- a/internal/platform/proxy/nodeconn.go
+++ b/internal/platform/proxy/nodeconn.go
@@ -3,12 +3,12 @@
 import (
 	"errors"
 	"math"
-	"slices"
 	"strconv"
 
 	"headmill"
 	"headmill/decide/attempt"
 	"headmill/decide/health"
+	"headmill/decide/redelivery"
 	"headmill/decide/release"
 	"headmill/internal/loop"
 	"headmill/internal/platform/frame"
@@ -16,28 +16,22 @@
 
 // nodeConn is one connection to a media node.
 type nodeConn struct {
-	node           *mediaNode
-	conn           *loop.Conn
-	addr           string // dialled address; the node's address may change later
-	localAddr      string // of the established connection, for the log
-	established    bool
-	dialledAt      float64 // loop time, ms
-	connectedAt    float64 // Unix time, ms, at which it came up
-	reader         frame.Reader
-	attempts       map[uint64]*setupAttempt // by protocol id of the session
-	partialSince   float64                  // loop time, ms, since which a message is incomplete
-	probe          bool                     // its coming up or failing is the result of health.OpenStream
-	lastUsed       float64                  // loop time, ms, of the last bytes sent or received
-	lastHeard      float64                  // loop time, ms, at which it came up or last received bytes
-	heard          bool                     // bytes were received
-	recentReleases []sentRelease            // oldest first
-	connectTimer   *loop.Timer
-}
-
-// sentRelease is a release that was written to a media node, and the loop time, ms, at which it was first written.
-type sentRelease struct {
-	id          uint64
-	firstSentAt float64
+	node         *mediaNode
+	conn         *loop.Conn
+	addr         string // dialled address; the node's address may change later
+	localAddr    string // of the established connection, for the log
+	established  bool
+	dialledAt    float64 // loop time, ms
+	connectedAt  float64 // Unix time, ms, at which it came up
+	reader       frame.Reader
+	attempts     map[uint64]*setupAttempt // by protocol id of the session
+	partialSince float64                  // loop time, ms, since which a message is incomplete
+	probe        bool                     // its coming up or failing is the result of health.OpenStream
+	lastUsed     float64                  // loop time, ms, of the last bytes sent or received
+	lastHeard    float64                  // loop time, ms, at which it came up or last received bytes
+	heard        bool                     // bytes were received
+	sent         redelivery.SentMessages
+	connectTimer *loop.Timer
 }
 
 // closeIfMoved closes a connection to an address that the media node has left, if no attempt uses it and no session may end
@@ -62,27 +56,6 @@
 	return nc.node.proxy.loop.Now()-nc.lastUsed > nc.node.proxy.cfg.KeepAliveMs-nc.node.proxy.cfg.ConnectMs
 }
 
-// sendRelease ends a session or gives up a set-up on this connection; firstSentAt is when the release was first written.
-// Media nodes confirm nothing, so a release that was written shortly before the connection's end may be lost and is
-// written again. That stops releaseLossWindowMs after the first time, or a media node that resets every connection would
-// be sent it forever.
-func (nc *nodeConn) sendRelease(id uint64, firstSentAt float64) {
-	now := nc.node.proxy.loop.Now()
-	nc.recentReleases = append(slices.DeleteFunc(nc.recentReleases,
-		func(r sentRelease) bool { return !nc.mayBeLost(r, now) }), sentRelease{id, firstSentAt})
-	if len(nc.recentReleases) > maxQueuedMessages {
-		nc.recentReleases = slices.Delete(nc.recentReleases, 0, 1)
-	}
-	nc.write(frame.AppendRelease(nil, id, causeNormal))
-}
-
-// mayBeLost reports whether a release is lost if the connection breaks now. After releaseLossWindowMs the media node has
-// read it, unless it has been silent since.
-func (nc *nodeConn) mayBeLost(r sentRelease, now float64) bool {
-	age := now - r.firstSentAt
-	return age <= releaseLossWindowMs || nc.lastHeard < r.firstSentAt && age <= queueTTLMs
-}
-
 // write writes a message.
 func (nc *nodeConn) write(msg []byte) {
 	nc.lastUsed = nc.node.proxy.loop.Now()
@@ -99,10 +72,7 @@
 	n.proxy.log.Debug("media node connection established", "host", n.name, "local", nc.localAddr, "probe", nc.probe,
 		"conns", len(n.conns), "sessions", len(n.sessions))
 	if conn.Open() { // else it has broken already
-		for _, msg := range n.queue {
-			conn.Write(msg)
-		}
-		n.queue = nil
+		nc.sendQueue()
 	}
 	n.reportStreamOpened()
 	if !n.proxy.holding {
@@ -161,12 +131,12 @@
 	nc.node.removeConn(nc)
 	nc.conn.Close(errMalformed)
 	for id := range nc.attempts {
-		nc.node.sendRelease(id, p.loop.Now())
+		nc.node.sendRelease(id)
 	}
 }
 
 // Closed implements loop.Handler. It reports the close to the attempts on the connection and to the health monitor, and
-// repeats releases that may be lost.
+// sends messages again that may be lost.
 func (nc *nodeConn) Closed(_ *loop.Conn, err error) {
 	n := nc.node
 	n.proxy.loop.Cancel(nc.connectTimer)
@@ -188,19 +158,10 @@
 		sent := a.machine.State() == attempt.StateSent
 		a.connClosed()
 		if sent && !loop.IsConnRefused(err) { // its answer may be lost, and then no viewer uses the session
-			n.sendRelease(id, n.proxy.loop.Now())
-		}
-	}
-	for _, r := range nc.recentReleases {
-		age := n.proxy.loop.Now() - r.firstSentAt
-		switch {
-		case err == loop.ErrClosedByOwner: // this side closed with nothing unsent, so the release has arrived
-		case err == nil && age > releaseLossWindowMs: // in an orderly close the media node has read all
-		case nc.mayBeLost(r, n.proxy.loop.Now()):
-			n.sendRelease(r.id, r.firstSentAt)
+			n.sendRelease(id)
 		}
 	}
-	nc.recentReleases = nil
+	nc.resendLost(err)
 }
 
 // handleMessage carries out one message of a media node.
--- a/internal/platform/proxy/nodehealth.go
+++ b/internal/platform/proxy/nodehealth.go
@@ -69,7 +69,7 @@
 	case health.EndOrphan:
 		if lost := n.lost[headmill.SessionID(action.Session)]; lost != nil {
 			p.log.Info("lost session is ended at its media node", "id", logID(lost.id), "host", n.name)
-			n.sendRelease(lost.id, p.loop.Now())
+			n.sendRelease(lost.id)
 		}
 	case health.LostSessionGone:
 		n.removeLost(headmill.SessionID(action.Session), headmill.OutcomeCancelled, headmill.LoadReport{})
--- a/internal/platform/proxy/session.go
+++ b/internal/platform/proxy/session.go
@@ -250,7 +250,7 @@
 		}
 	case statePlaying:
 		s.state = stateEnding
-		s.node.sendRelease(s.id, p.loop.Now())
+		s.node.sendRelease(s.id)
 		s.endTimer = p.loop.After(endConfirmMs, func() {
 			s.endTimer = nil
 			p.sessionEnded(s, headmill.OutcomeCancelled, causeCancelled, headmill.LoadReport{})
