A connection for releases is also opened at the limit of connections, and evicts the one that costs least

Related path: which event makes the next connection when the descriptors are used up. Cause: only a connection on which the media node had never sent anything made room, the oldest one; with none of these no connection was opened, and the release waited until others ended. The oldest unheard one is also the first that a media node accepts as it goes on, and the one that it offers its releases on.

Change: decide/redelivery.Evict, pure: the newest that the media node sent nothing on, else the oldest other, never a busy one. What is lost with it is delivered on the connection that it makes room for.

--- a/decide/redelivery/sent_test.go
+++ b/decide/redelivery/sent_test.go
@@ -8,7 +8,9 @@
 // What may be lost with a connection, by when it was sent and when the media node was last heard.
 func TestSentMessages(t *testing.T) {
 	cfg := &SentConfig{WindowMs: 1000, SilentWindowMs: 20000, MaxMessages: 3}
-	sent := func(session uint64, kind MessageKind, firstSentAt float64) Message { return Message{session, kind, firstSentAt} }
+	sent := func(session uint64, kind MessageKind, firstSentAt float64) Message {
+		return Message{session, kind, firstSentAt}
+	}
 	for name, c := range map[string]struct {
 		add            []Message // sent at 100 ms
 		now, lastHeard float64
--- a/internal/platform/proxy/nodepool.go
+++ b/internal/platform/proxy/nodepool.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"headmill/decide/redelivery"
 	"headmill/internal/loop"
 )
 
@@ -30,10 +31,10 @@
 // above the limit of all. At a limit another connection makes room.
 func (n *mediaNode) dialProbe() *nodeConn {
 	if len(n.conns) > maxConnsPerNode+maxSilentConnsPerNode {
-		n.closeUnansweredConn()
+		n.evictConn()
 	}
 	if n.proxy.nodeConnCount >= n.proxy.cfg.Sockets/3+n.proxy.cfg.Sockets/32 && !n.proxy.closeUnusedNodeConn() {
-		n.closeUnansweredConn()
+		n.evictConn()
 	}
 	if len(n.conns) > maxConnsPerNode+maxSilentConnsPerNode ||
 		n.proxy.nodeConnCount >= n.proxy.cfg.Sockets/3+n.proxy.cfg.Sockets/32 {
@@ -42,16 +43,21 @@
 	return n.dialWithin(probeTimeoutMs(n.proxy.cfg))
 }
 
-// closeUnansweredConn closes the oldest connection on which the media node has never written anything: the one whose loss
-// is least likely to cost a release.
-func (n *mediaNode) closeUnansweredConn() {
-	for _, nc := range n.conns {
-		if nc.established && !nc.heard && len(nc.attempts) == 0 {
-			n.removeConn(nc)
-			nc.conn.Close(loop.ErrClosedByOwner)
-			return
-		}
+// evictConn closes the connection that decide/redelivery chooses, after reading what has arrived on it.
+func (n *mediaNode) evictConn() {
+	conns := make([]redelivery.Connection, len(n.conns))
+	for i, nc := range n.conns {
+		conns[i] = redelivery.Connection{DialledAt: nc.dialledAt, Written: nc.heard,
+			Busy: !nc.established || len(nc.attempts) > 0 || nc.conn.Pending() > 0}
+	}
+	i := redelivery.Evict(conns)
+	if i < 0 {
+		return
 	}
+	nc := n.conns[i]
+	nc.conn.ReadAvailable()
+	n.removeConn(nc)
+	nc.conn.Close(loop.ErrClosedByOwner)
 }
 
 // closeUnusedNodeConn closes a connection to any media node that has no session of this director. It reports whether there
--- a/internal/platform/proxy/redelivery_test.go
+++ b/internal/platform/proxy/redelivery_test.go
@@ -91,3 +91,29 @@
 		t.Errorf("%+v", got)
 	}
 }
+
+// Guards against a release that stays with its media node because connections to other media nodes hold all descriptors: one of
+// the media node's own makes room for the connection on which the release comes again.
+func TestReleasesAreFetchedAtTheLimitOfConnections(t *testing.T) {
+	h := startHarness(t, 1, func(cfg *Config) { cfg.Sockets = 64 })
+	v := h.dialViewer()
+	node, setups := h.playOnTwoConns(v)
+	h.runOnLoop(func() { h.proxy.nodeConnCount = h.cfg.Sockets/3 + h.cfg.Sockets/32 + 1 }) // the next close leaves the limit
+	setups[0].conn.Close()
+	for deadline := time.Now().Add(2 * time.Second); ; time.Sleep(5 * time.Millisecond) { // before the silence is noticed
+		node.mu.Lock()
+		newest := node.conns[len(node.conns)-1]
+		node.mu.Unlock()
+		if newest != setups[0].conn && newest != setups[1].conn {
+			setups[0].conn = newest
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("no further connection is opened")
+		}
+	}
+	setups[0].sendRelease(causeNormal)
+	if got := v.receive(); got.Type != "release" || got.ID != id1 {
+		t.Errorf("%+v", got)
+	}
+}
