Soak: idle closes in the running, and ends of sessions that cross a close

The soak's media nodes closed idle connections only as they went on after a stop, and never while a session ended. They now do so after 1.5, 4 or 15 s (the directors' settings say the same), and sessions end up to 3 s after their connection was closed or reset while the media node takes it for open.

--- a/test/faults/director_test.go
+++ b/test/faults/director_test.go
@@ -22,12 +22,13 @@
 	reportInterval time.Duration // between load notes of a media node; 0: it sends none
 	seats          int           // of each title of the class paid at one director; 0: no limit
 	reportDelay    time.Duration // by which load notes are late
+	keepAlive      time.Duration // media nodes close connections that were idle for so long
 }
 
 // usualSettings are those of the report's deployment.
 var usualSettings = settings{deadlines: [2]time.Duration{3 * time.Second, 3 * time.Second},
 	connect: 250 * time.Millisecond, sockets: 512, reportInterval: 2500 * time.Millisecond,
-	reportDelay: time.Second}
+	reportDelay: time.Second, keepAlive: 15 * time.Second}
 
 // killDelay is the least time between SIGTERM and SIGKILL that the platform's page states.
 func (s settings) killDelay() time.Duration {
@@ -81,7 +82,7 @@
 	text := fmt.Sprintf(`{"name":"n%d","listen":"%s","seed":"8c1f30d27a5be96%d","dns":"%s",
 		"limits":{"cores":1,"memory_mb":128,"sockets":%d},"known":%s,
 		"settings":{"me":%d,"replicas_of_me":%d,"zone":0,"dcs":["east","west"],"skus":["std"],"discovery":"automatic",
-		"allowed":{"max_attempts":3,"retry_after":true,"max_retry_after_ms":700,"connect_timeout_ms":%d},
+		"allowed":{"max_attempts":3,"retry_after":true,"max_retry_after_ms":700,"connect_timeout_ms":%d,"keepalive_ms":%d},
 		"categories":[{"name":"paid","give_up_ms":%d,"slo_ms":1000,"semantics":"once","value":3},
 			{"name":"free","give_up_ms":%d,"slo_ms":800,"semantics":"repeatable","value":1}],
 		"tenants":[{"name":"acme"}],"feedback":{"source":"inline","fields":["outstanding","x0","x1"]},
@@ -90,7 +91,7 @@
 			"top_by_class":[1,1],"class_seats":[%d,0],"switch_s":0.5,%s"x":0},
 		"safety":{"warm_within_ms":1000,"cold_from":0.4,"answer_slack_ms":40,"drain_grace_ms":250}}}`,
 		d.index, d.addr, d.index, d.discovery.addr(), s.sockets, known, d.index, len(d.world.directors),
-		s.connect.Milliseconds(), s.deadlines[0].Milliseconds(), s.deadlines[1].Milliseconds(), cells, cells*100000, s.seats, notes)
+		s.connect.Milliseconds(), s.keepAlive.Milliseconds(), s.deadlines[0].Milliseconds(), s.deadlines[1].Milliseconds(), cells, cells*100000, s.seats, notes)
 	if err := os.WriteFile(d.configPath, []byte(text), 0o644); err != nil {
 		d.world.t.Error(err)
 	}
--- a/test/faults/medianode_test.go
+++ b/test/faults/medianode_test.go
@@ -52,9 +52,6 @@
 // lateAcceptWindow is the time after a late accept within which what is read may have been written long before.
 const lateAcceptWindow = 200 * time.Millisecond
 
-// keepAlive is the time after which a media node closes an idle connection.
-const keepAlive = 15 * time.Second
-
 // mediaNode is a stand-in media node. Each director reaches it at an address of its own, so that the node knows whose
 // connection is whose.
 type mediaNode struct {
@@ -146,6 +143,9 @@
 		if !f.held && f.node.goOn == nil {
 			f.acceptAll()
 		}
+		if f.node.state == nodeUp {
+			f.closeIdle()
+		}
 		f.node.mu.Unlock()
 		if f.waits() {
 			time.Sleep(2 * time.Millisecond)
--- a/test/faults/nodefreeze_test.go
+++ b/test/faults/nodefreeze_test.go
@@ -32,12 +32,7 @@
 	}
 	n.mu.Lock()
 	for _, f := range n.faces {
-		for nc := range f.conns {
-			if n.world.now()-nc.usedAt > keepAlive && len(nc.attempts) == 0 {
-				nc.conn.Close()
-				delete(f.conns, nc)
-			}
-		}
+		f.closeIdle()
 		if f.listener >= 0 {
 			f.acceptAll()
 		}
--- a/test/faults/redelivery_test.go
+++ b/test/faults/redelivery_test.go
@@ -41,9 +41,12 @@
 					go w.directors[0].stall(c.stall)
 					time.Sleep(50 * time.Millisecond)
 				}
+				if f.connCount() < 2 { // with none left the director would open one in any case
+					t.Fatal("the media node has one connection: the test proves nothing")
+				}
 				s := f.endAcrossClose(c.lag, c.reset)
 				if s == nil {
-					t.Fatal("the media node has no session with an open connection beside another one")
+					t.Fatal("the media node has no session with an open connection")
 				}
 				w.expectReleased(s, c.limit+limitSlack)
 			}
@@ -52,18 +55,38 @@
 	}
 }
 
+// closeIdle closes idle connections. The node's lock is held.
+func (f *nodeFace) closeIdle() {
+	for nc := range f.conns {
+		if f.node.world.now()-nc.usedAt > f.node.world.settings.keepAlive && len(nc.attempts) == 0 {
+			nc.conn.Close()
+			delete(f.conns, nc)
+		}
+	}
+}
+
+// connCount is the number of open connections.
+func (f *nodeFace) connCount() int {
+	f.node.mu.Lock()
+	defer f.node.mu.Unlock()
+	return len(f.conns)
+}
+
 // endAcrossClose closes the connection that a session's release would be sent on, and ends the session a little later, while
-// the media node still takes that connection for open. Another connection stays open, so that the director needs none. It
-// returns nil if there is no such session.
+// the media node still takes that connection for open. It returns nil if there is no such session, or set-ups are out on the
+// connection.
 func (f *nodeFace) endAcrossClose(lag time.Duration, reset bool) *session {
 	n := f.node
 	n.mu.Lock()
 	s := n.world.anySession(n, f.director)
-	if s == nil || len(f.conns) < 2 {
+	var closing *nodeConn
+	if s != nil {
+		closing = f.anyConn(s.conn)
+	}
+	if closing == nil || len(closing.attempts) > 0 || n.state != nodeUp {
 		n.mu.Unlock()
 		return nil
 	}
-	closing := f.anyConn(s.conn)
 	if reset {
 		resetConn(closing.conn)
 	} else {
--- a/test/faults/soak_test.go
+++ b/test/faults/soak_test.go
@@ -21,10 +21,12 @@
 )
 
 const (
-	soakSettle      = 4 * time.Second  // after faults and new set-ups, for what is owed
-	longestStop     = 22 * time.Second // that a media node stands still
-	longestCut      = 12 * time.Second // that a media node is cut off
-	longestSlowness = 6 * time.Second  // of an answer of the discovery service
+	soakSettle      = 4 * time.Second       // after faults and new set-ups, for what is owed
+	longestStop     = 22 * time.Second      // that a media node stands still
+	longestCut      = 12 * time.Second      // that a media node is cut off
+	longestSlowness = 6 * time.Second       // of an answer of the discovery service
+	shortCrossing   = 50 * time.Millisecond // that a media node takes to know of its own close
+	longCrossing    = 3 * time.Second
 )
 
 // Guards against broken rules under mixed faults: each seed draws a deployment and what goes wrong in it.
@@ -59,6 +61,7 @@
 	s.reportInterval = []time.Duration{0, ms(2000), ms(2500), ms(5000)}[rng.IntN(4)]
 	s.reportDelay = []time.Duration{ms(400), ms(1400)}[rng.IntN(2)]
 	s.seats = []int{0, 2, 4}[rng.IntN(3)]
+	s.keepAlive = []time.Duration{ms(1500), ms(4000), ms(15000)}[seed%3]
 	w := newWorld(t, seed, 2+rng.IntN(2), 5+rng.IntN(4), s)
 	w.sessionMs = 1000 + rng.IntN(int(soakLength.Milliseconds()))
 	w.repeats = 0.5 * rng.Float64()
@@ -72,7 +75,7 @@
 	w.startViewers(10*len(w.directors), habits)
 	faults := []func(*rand.Rand){k.restartDirectors, k.troubleNodes, k.troubleNodes, k.troubleDiscovery, k.drainNodes,
 		k.reloadDirectors, k.cutConnections, k.sendBadInput, k.sendCrowds, k.delayConnects, k.freezeNodes, k.replaceNodes, k.sendOlderLists,
-		k.stallDirectors}
+		k.stallDirectors, k.crossCloses}
 	for i, fault := range faults {
 		if i > 1 && rng.Float64() < 0.4 { // the first two are played always
 			continue
@@ -282,6 +285,19 @@
 	}
 }
 
+// crossCloses lets sessions end as their media node closes or resets the connection that it sends their release on.
+func (k *soak) crossCloses(rng *rand.Rand) {
+	for k.pause(rng, 500*time.Millisecond) {
+		n := k.allNodes()[rng.IntN(k.cells)]
+		longest := shortCrossing
+		if rng.Float64() < 0.2 {
+			longest = longCrossing
+		}
+		lag := time.Duration(rng.Float64() * float64(longest))
+		n.faces[rng.IntN(len(n.faces))].endAcrossClose(lag, rng.Float64() < 0.3)
+	}
+}
+
 // delayConnects lets new connections to a media node come up late.
 func (k *soak) delayConnects(rng *rand.Rand) {
 	for k.pause(rng, time.Second) {
