HTTP front: an end that comes before its session is known to play ends the session

Related path: the event stream tells each end once, while the stream stays open its list of sessions is not sent again. Callers saw a session that plays for good, with its reservation, at a media node that has none.

Cause: an end for a session that is not yet known to play was dropped. The stream and the answer to the set-up take two connections, so a director that stood still may read the end first; an end may also come before a late answer, or while a session that was set up late waits for its viewer.

Change: the attempt keeps the end until its answer is read, the session then ends once its viewers have been answered; one that nobody has claimed ends at once, also in the ledger.

--- a/internal/director/nodestream.go
+++ b/internal/director/nodestream.go
@@ -134,8 +134,8 @@
 	id, ours := d.parseSessionName(m.Session)
 	s := d.sessions[id]
 	if eventKind == "ended" {
-		if ours && s != nil && s.node == node.id && s.state == sessionPlaying {
-			d.endSession(s, headmill.OutcomeServed, orca.Parse(m.Load), m.Reason)
+		if ours && s != nil {
+			d.endedAtNode(s, node, orca.Parse(m.Load), m.Reason)
 		}
 		return
 	}
--- a/internal/director/session.go
+++ b/internal/director/session.go
@@ -276,6 +276,25 @@
 	d.endForPlayer(s, reason)
 }
 
+// endedAtNode handles a media node's report that a session has ended there. Each end is reported once, and may come before the
+// answer to the set-up, which takes another connection, or before a viewer has claimed the session.
+func (d *Director) endedAtNode(s *session, node *mediaNode, load orca.Load, reason string) {
+	switch {
+	case s.state == sessionPlaying && s.node == node.id:
+		d.endSession(s, headmill.OutcomeServed, load, reason)
+	case s.setup != nil && s.setup.node == node:
+		s.setup.earlyEnd = &earlyEnd{load, reason}
+	case s.unclaimed() && s.node == node.id:
+		d.endUnclaimed(s)
+	}
+}
+
+// endUnclaimed ends a session that plays for no viewer, and has ended at its media node.
+func (d *Director) endUnclaimed(s *session) {
+	d.withdrawUnclaimed(s)
+	d.ledgerEvents = append(d.ledgerEvents, idempotency.Event{Kind: idempotency.SessionEnded, Session: s.id})
+}
+
 // loseSession ends a playing session that was lost with its media node. One that the media node may still play holds its
 // reservation, and its place under its class's cap, until it plays no longer.
 func (d *Director) loseSession(s *session, mayPlay bool) {
@@ -328,18 +347,23 @@
 		"box", d.nodeList.Addr(s.node), "why", reason, "played_ms", math.Round(d.loop.Now()-s.playingSince))
 }
 
+// withdrawUnclaimed has a session that plays for no viewer no longer claimed.
+func (d *Director) withdrawUnclaimed(s *session) {
+	s.mediaURL = ""
+	d.healthEvents = append(d.healthEvents, health.Event{
+		Kind:    health.SessionEnded,
+		Node:    health.NodeID(s.node),
+		Session: health.SessionID(s.id),
+	})
+}
+
 // endAtNode ends a session at its media node: one that plays, or one that was set up after its attempt was given up.
 func (d *Director) endAtNode(s *session) {
 	if s.mediaURL != "" && s.node != 0 {
 		d.unconfirmedEnds++
 		d.node(s.node).enqueueCommand("DELETE", "/sessions/"+d.sessionName(s), "", func(bool) { d.unconfirmedEnds-- })
 		if s.state != sessionPlaying {
-			s.mediaURL = "" // it is no longer to be claimed
-			d.healthEvents = append(d.healthEvents, health.Event{
-				Kind:    health.SessionEnded,
-				Node:    health.NodeID(s.node),
-				Session: health.SessionID(s.id),
-			})
+			d.withdrawUnclaimed(s)
 		}
 	}
 	// "ended here": by this director.
--- a/internal/director/setup.go
+++ b/internal/director/setup.go
@@ -34,6 +34,13 @@
 	mediaURL     string
 	rung         int  // as sent with the set-up
 	awaitingLate bool // the connection stays open for a late answer
+	earlyEnd     *earlyEnd
+}
+
+// earlyEnd is the end of a session that its media node has reported before the answer to the set-up was read.
+type earlyEnd struct {
+	load   orca.Load
+	reason string
 }
 
 // moduleOutcomes has the module's outcome for each outcome of an attempt except OutcomePlaying. OutcomeNeverSent counts
@@ -243,6 +250,9 @@
 			d.sendRung(s)
 		}
 		d.recordSessionStart(s, quality.SessionStarted)
+		if end := a.earlyEnd; end != nil { // once its viewers have been answered
+			d.loop.After(0, func() { d.endSession(s, headmill.OutcomeServed, end.load, end.reason) })
+		}
 		return
 	}
 	if a.machine.State() == attempt.StateAwaitingLate { // the connection stays open for a late answer
@@ -271,4 +281,7 @@
 	d.log.Warn("a set-up that had been given up plays", "session", d.sessionName(s), "jti", s.claims.jti,
 		"box", a.node.addr, "took_ms", roundMs(d.loop.Now()-a.startedAt))
 	d.ledgerEvents = append(d.ledgerEvents, idempotency.Event{Kind: idempotency.LateSuccess, Session: s.id})
+	if a.earlyEnd != nil {
+		d.endUnclaimed(s)
+	}
 }
