Connections for releases are retried with backoff where a media node refuses them

Found by reading: a media node that refuses new connections while others are open was dialled every 0.5 s for as long as its sessions are exposed. Test: the new row of TestSchedule.

--- a/decide/redelivery/redelivery.go
+++ b/decide/redelivery/redelivery.go
@@ -42,7 +42,7 @@
 	SettleMs float64
 	// RefreshMs is the longest time between two connections while Unsettled; no two are due for this reason within it.
 	RefreshMs float64
-	// RetryMs is the least time between two dials.
+	// RetryMs is the least time between two dials. It doubles with each one in a row that fails, up to RefreshMs.
 	RetryMs float64
 }
 
@@ -67,12 +67,13 @@
 	respondedAt  float64 // when the state became Responsive
 	newestDial   float64 // when the newest connection that came up was dialled
 	lastDial     float64 // when the newest one was dialled, whether it came up or not
+	retryMs      float64 // least time from lastDial to the next
 }
 
 // New returns the Schedule of a media node without connections.
 func New(cfg Config) *Schedule {
 	never := math.Inf(-1)
-	return &Schedule{cfg: cfg, promptAt: math.Inf(1), newestDial: never, lastDial: never}
+	return &Schedule{cfg: cfg, promptAt: math.Inf(1), newestDial: never, lastDial: never, retryMs: cfg.RetryMs}
 }
 
 // State returns the state.
@@ -110,8 +111,12 @@
 // Dialled notes that a connection is being opened.
 func (s *Schedule) Dialled(now float64) { s.lastDial = now }
 
+// DialFailed handles a connection that has not come up: refused, or too late.
+func (s *Schedule) DialFailed() { s.retryMs = math.Min(2*s.retryMs, s.cfg.RefreshMs) }
+
 // ConnectionUp handles a connection that has come up.
 func (s *Schedule) ConnectionUp(dialledAt float64) {
+	s.retryMs = s.cfg.RetryMs
 	s.newestDial = math.Max(s.newestDial, dialledAt)
 	if dialledAt >= s.promptAt {
 		s.promptAt = math.Inf(1)
@@ -130,7 +135,7 @@
 		s.state, s.promptAt = Settled, math.Inf(1)
 		return false
 	}
-	if now < s.lastDial+s.cfg.RetryMs {
+	if now < s.lastDial+s.retryMs {
 		return false
 	}
 	return now >= s.promptAt || now >= s.refreshAt()
--- a/decide/redelivery/redelivery_test.go
+++ b/decide/redelivery/redelivery_test.go
@@ -15,6 +15,7 @@
 	}
 	up := func(s *Schedule, now float64) { s.ConnectionUp(now) }
 	heard := (*Schedule).BytesReceived
+	refused := func(s *Schedule, now float64) { s.Dialled(now); s.DialFailed() }
 	type step struct {
 		at      float64
 		event   func(*Schedule, float64) // nil: none
@@ -47,6 +48,10 @@
 			{3990, heard, true, false, Responsive}, {4000, up, true, false, Responsive}, {8000, up, true, false, Settled}},
 		"adopted": {{100, (*Schedule).SessionAdopted, true, false, Unsettled}, {500, heard, true, false, Responsive},
 			{4100, nil, true, true, Responsive}, {4200, up, true, false, Settled}},
+		"refused, again and again": {{0, end(true), true, false, Unsettled}, {300, refused, true, false, Unsettled},
+			{1299, nil, true, false, Unsettled}, {1300, refused, true, false, Unsettled}, {3299, nil, true, false, Unsettled},
+			{3300, refused, true, false, Unsettled}, {7300, refused, true, false, Unsettled}, {11299, nil, true, false, Unsettled},
+			{11300, up, true, false, Unsettled}},
 		"dialled, and not up yet": {{0, end(true), true, false, Unsettled}, {300, (*Schedule).Dialled, true, false, Unsettled},
 			{799, nil, true, false, Unsettled}, {800, nil, true, true, Unsettled}},
 	} {
--- a/internal/platform/proxy/nodeconn.go
+++ b/internal/platform/proxy/nodeconn.go
@@ -149,6 +149,8 @@
 	}
 	if nc.established {
 		n.redelivery.ConnectionEnded(n.proxy.loop.Now(), nc.heard)
+	} else {
+		n.redelivery.DialFailed()
 	}
 	if len(n.conns) == 0 || nc.probe && !nc.established {
 		n.proxy.queueHealthEvent(health.Event{Kind: health.StreamFailed, Node: health.NodeID(n.id),
