--- a/test/faults/medianode_test.go
+++ b/test/faults/medianode_test.go
@@ -68,6 +68,7 @@
 	state    nodeState
 	goOn     chan struct{} // while it stands still, else nil; closed when it goes on
 	due      []func()      // what its timers had due while it stood still
+	endsLast bool          // after a stop its timers come last
 	claimed  bool          // in trouble, or about to be: other faults leave it alone
 	spoilt   float64       // share of set-ups that get another answer than a good one
 	fixed    answerKind
--- a/test/faults/nodefreeze_test.go
+++ b/test/faults/nodefreeze_test.go
@@ -19,25 +19,48 @@
 }
 
 // resumeProcess goes on after the process stood still, as one event loop does: first come the timers that are due, then the
-// connections that wait, then what has come on the others. Idle connections are past their time. The lock is held.
+// connections that wait, then what has come on the others. Idle connections are past their time. With endsLast sessions end only
+// after that, and the idle connections count as open until then. The lock is held.
 func (n *mediaNode) resumeProcess() {
 	goOn, due := n.goOn, n.due
 	n.goOn, n.due = nil, nil
 	for _, f := range n.faces {
 		f.lateTill = n.world.now() + lateAcceptWindow
 	}
+	if n.endsLast {
+		defer n.closeAndAccept(true)()
+	}
 	n.mu.Unlock()
 	for _, f := range due {
 		f()
 	}
 	n.mu.Lock()
+	if !n.endsLast {
+		n.closeAndAccept(false)
+	}
+	close(goOn)
+}
+
+// closeAndAccept closes idle connections and takes those that wait. With stayKnown the closed ones count as open until the
+// function that is returned is called. The lock is held.
+func (n *mediaNode) closeAndAccept(stayKnown bool) (forgetClosed func()) {
+	var closed []*nodeConn
 	for _, f := range n.faces {
-		f.closeIdle()
+		closed = append(closed, f.closeIdle()...)
 		if f.listener >= 0 {
 			f.acceptAll()
 		}
 	}
-	close(goOn)
+	if stayKnown {
+		for _, nc := range closed {
+			nc.face.conns[nc] = true
+		}
+	}
+	return func() {
+		for _, nc := range closed {
+			delete(nc.face.conns, nc)
+		}
+	}
 }
 
 // waitWhileStopped waits while the process stands still.
--- a/test/faults/redelivery_test.go
+++ b/test/faults/redelivery_test.go
@@ -55,14 +55,91 @@
 	}
 }
 
-// closeIdle closes idle connections. The node's lock is held.
-func (f *nodeFace) closeIdle() {
+// Guards against releases that are lost as their media node goes on: it takes the connections of the director's probes first,
+// closes those that are idle, and then ends sessions, on connections that are closed or belonged to a director process that was
+// killed meanwhile. Nothing but a later connection brings their releases.
+func TestReleasesOfANodeThatGoesOnAreDelivered(t *testing.T) {
+	t.Parallel()
+	for name, killed := range map[string]bool{"idle closes": false, "director killed": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := usualSettings
+			s.keepAlive = 4 * time.Second
+			w := newWorld(t, 12, 1, 3, s)
+			w.sessionMs = 120000
+			d := w.directors[0]
+			d.start()
+			w.startViewers(12, steadyViewers)
+			time.Sleep(2 * time.Second)
+			w.quiet.Store(true)
+			time.Sleep(time.Second)
+			n := w.busiestNode()
+			n.mu.Lock()
+			n.endsLast = true
+			n.mu.Unlock()
+			n.setState(nodeStopped)
+			if killed {
+				d.kill()
+				d.start()
+				d.adopt(true)
+			}
+			time.Sleep(9 * time.Second)
+			ended := w.endSome(n, 3)
+			n.setState(nodeUp)
+			for _, s := range ended {
+				w.expectReleased(s, releaseFromEnd+limitSlack)
+			}
+			w.report(name)
+		})
+	}
+}
+
+// endSome ends some sessions of a media node, those of one that stands still as it goes on.
+func (w *world) endSome(n *mediaNode, count int) (ended []*session) {
+	w.record(func() {
+		for _, s := range w.sessions {
+			if s.node == n && s.endedAt == 0 && len(ended) < count {
+				ended = append(ended, s)
+			}
+		}
+	})
+	for _, s := range ended {
+		n.faces[s.director].endSession(s, s.conn)
+	}
+	return ended
+}
+
+// Guards against releases of a media node that has forgotten its connections without a word, so that the director takes them for
+// open.
+func TestReleasesOfANodeThatForgetsConnectionsAreDelivered(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 13, 1, 3, usualSettings)
+	w.sessionMs = 120000
+	w.directors[0].start()
+	w.startViewers(12, steadyViewers)
+	time.Sleep(2 * time.Second)
+	w.quiet.Store(true)
+	time.Sleep(time.Second)
+	n := w.busiestNode()
+	n.mu.Lock()
+	clear(n.faces[0].conns)
+	n.mu.Unlock()
+	for _, s := range w.endSome(n, 3) {
+		w.expectReleased(s, releaseFromEnd+limitSlack)
+	}
+	w.report("connections forgotten")
+}
+
+// closeIdle closes idle connections and returns them. The node's lock is held.
+func (f *nodeFace) closeIdle() (closed []*nodeConn) {
 	for nc := range f.conns {
 		if f.node.world.now()-nc.usedAt > f.node.world.settings.keepAlive && len(nc.attempts) == 0 {
 			nc.conn.Close()
 			delete(f.conns, nc)
+			closed = append(closed, nc)
 		}
 	}
+	return closed
 }
 
 // connCount is the number of open connections.
