Bound of the connections that decide/redelivery asks for, in its test of random orders

A chain of connections, each opened for the end of another, can't grow: in the model at most one for each end of a connection that was written on and one each refresh time.

--- a/decide/redelivery/redelivery_test.go
+++ b/decide/redelivery/redelivery_test.go
@@ -81,6 +81,8 @@
 	idleMs       float64
 	reportMs     float64 // between two reports; 0: none
 	nextReport   float64
+	dials        int
+	writtenEnds  int // ends of connections that the media node had written on
 }
 
 type simulatedConn struct {
@@ -105,6 +107,7 @@
 
 // dial opens a connection that comes up late now and then.
 func (n *simulatedNode) dial() {
+	n.dials++
 	n.schedule.Dialled(n.now)
 	c := &simulatedConn{dialledAt: n.now, upAt: n.now, lastUsed: n.now}
 	if n.rng.Float64() < 0.05 {
@@ -131,6 +134,9 @@
 	if s := n.sessions[n.rng.IntN(len(n.sessions))]; !s.ended {
 		s.endsAt = n.now + (c.forgetAt-n.now)*n.rng.Float64()
 	}
+	if c.written {
+		n.writtenEnds++
+	}
 	n.schedule.ConnectionEnded(n.now, c.written)
 }
 
@@ -242,14 +248,18 @@
 
 // Guards against a release that its media node sends into ended connections only, in random orders of idle closes, resets,
 // stalls of the media node with connections in its backlog, late connects and ends of sessions, with idle times and report
-// intervals at both ends of their ranges.
+// intervals at both ends of their ranges. The connections for it are bounded.
 func TestReleasesArriveInEveryOrder(t *testing.T) {
-	const limitMs = 8000.0
+	const (
+		limitMs = 8000.0
+		seeds   = 5
+	)
 	for _, idleMs := range []float64{1000, 4000, 15000, 60000} {
 		for _, reportMs := range []float64{0, 100, 2500, 5000} {
 			for _, closeLateMs := range []float64{0, 20, 250, 2000} {
 				name := fmt.Sprintf("idle %v ms, reports every %v ms, closes handled in %v ms", idleMs, reportMs, closeLateMs)
-				for seed := range uint64(5) {
+				dials := 0
+				for seed := range uint64(seeds) {
 					n := &simulatedNode{rng: rand.New(rand.NewPCG(seed, 44)), schedule: New(testConfig), idleMs: idleMs,
 						reportMs: reportMs, closeLateMs: closeLateMs}
 					n.play()
@@ -258,14 +268,21 @@
 							t.Errorf("%s, seed %d: the release of %.0f ms has waited for %v ms", name, seed, s.endsAt, s.waitedMs)
 						}
 					}
+					dials += n.dials
+					if limit := firstDials + n.writtenEnds + int(n.now/testConfig.RefreshMs) + 1; n.dials > limit {
+						t.Errorf("%s, seed %d: %d connections, at most %d are needed", name, seed, n.dials, limit)
+					}
 				}
+				t.Logf("%s: %.1f connections a minute", name, float64(dials)/seeds)
 			}
 		}
 	}
 }
 
-// stepMs is the length of a step.
-const stepMs = 5.0
+const (
+	stepMs     = 5.0 // length of a step
+	firstDials = 3   // for set-ups
+)
 
 // play runs a minute. The director opens three connections and sets up sessions on them; an earlier process has left one
 // that the media node does not know to have ended.
@@ -274,7 +291,7 @@
 	if n.rng.Float64() < 0.3 {
 		n.conns[0].forgetAt = 4000 * n.rng.Float64()
 	}
-	for range 3 {
+	for range firstDials {
 		n.dial()
 	}
 	for n.now < 20 {
@@ -283,7 +300,7 @@
 	for i := range 12 {
 		s := &simulatedSession{endsAt: 100 + 50000*n.rng.Float64()}
 		if i%4 > 0 {
-			s.conn = n.conns[1+i%3]
+			s.conn = n.conns[1+i%firstDials]
 		} else {
 			n.schedule.SessionAdopted(n.now)
 		}
