--- a/internal/platform/proxy/config_test.go
+++ b/internal/platform/proxy/config_test.go
@@ -144,3 +144,19 @@
 		}
 	}
 }
+
+// A release that was lost comes again before it is due, also if a connection for it fails and the next one comes up late, under any
+// connect timeout.
+func TestRedeliveryTimesUnderAnySettings(t *testing.T) {
+	const releaseLimitMs = 1000.0 // from the media node's release to the viewer's
+	for _, connectMs := range []float64{1, 20, 250, 750, 1000, 5000, 60000} {
+		cfg := &Config{ConnectMs: connectMs}
+		times, lateMs := redeliveryConfig(cfg), probeTimeoutMs(cfg)
+		secondDialMs := math.Max(2*times.RetryMs, lateMs) // after the first
+		worstMs := times.RefreshMs + secondDialMs + lateMs + 2*sweepIntervalMs
+		if worstMs > releaseRetentionMs || times.RefreshMs < 3000 || times.SettleMs+2*sweepIntervalMs > releaseLimitMs/2 {
+			t.Errorf("connect timeout %v ms: a lost release comes again after %v ms: %+v", connectMs, worstMs, times)
+		}
+		t.Logf("connect timeout %v ms: refresh %v ms, worst case %v ms", connectMs, times.RefreshMs, worstMs)
+	}
+}
--- a/internal/platform/proxy/proxy.go
+++ b/internal/platform/proxy/proxy.go
@@ -17,6 +17,7 @@
 //	decide/health     which sessions are lost with a media node
 //	decide/connmgr    which connections from viewers are kept
 //	decide/release    which connection carries the release of an ended session, and when it is repeated
+//	decide/redelivery when a media node gets a connection for releases that it sends again, and what it is sent again
 //	decide/shutdown   the steps of a stop
 //
 // A session passes these states:
