Which sessions play at a successor, and what lost ones hold, is decided in decide/

Three decisions stood in the proxy, one of them in both fronts alike: whether a session plays at the media node that has taken an address over (discovery.Successor), whether a lost session goes on counting (health.HoldsReservation), and for how long (health.LostRetentionMs). A session keeps the connection that it was answered on, so the time that was copied from it is gone. Behaviour as it was; tests of the pure packages, the proxy and the director pass.

--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -155,20 +155,6 @@
 // Listed tells whether a media node is on the list.
 func (l *List) Listed(id headmill.NodeID) bool { return l.nodes[id] != nil }
 
-// Successor tells when the media node started, on the clock of Apply's now, that has the address of one that is not listed
-// any more; 0: long ago. ok is false if there is none. One on hold does not count: the list may be an older one.
-func (l *List) Successor(id headmill.NodeID, addr string) (startedAt float64, ok bool) {
-	if l.nodes[id] != nil {
-		return 0, false
-	}
-	for _, node := range l.nodes {
-		if node.Addr == addr && node.holdFor == 0 {
-			return node.startedAt, true
-		}
-	}
-	return 0, false
-}
-
 // Ready tells whether a media node may be sent set-ups: listed, and not draining.
 func (l *List) Ready(id headmill.NodeID) bool {
 	node := l.nodes[id]
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -79,10 +79,6 @@
 	nodeSweepIntervalMs = 1000
 )
 
-// lostRetentionMs is the time, in ms, for which a media node that could not be reached may come back with the sessions that
-// were given up there.
-const lostRetentionMs = 30000
-
 // logIntervalMs is the minimum time, in ms, between two log lines about a condition that may recur often.
 const logIntervalMs = 2000
 
@@ -251,7 +247,7 @@
 		MaxRetryMs:          1000,
 		IdleTimeoutMs:       t.NodeIdleMs,
 		OpenTimeoutMs:       t.NodeStreamTimeoutMs,
-		LostRetentionMs:     lostRetentionMs,
+		LostRetentionMs:     health.LostRetentionMs,
 		StreamListsSessions: true,
 	})
 	d.nodeList = discovery.New(discovery.Config{
--- a/internal/director/session.go
+++ b/internal/director/session.go
@@ -298,7 +298,7 @@
 // loseSession ends a playing session that was lost with its media node. One that the media node may still play holds its
 // reservation, and its place under its class's cap, until it plays no longer.
 func (d *Director) loseSession(s *session, mayPlay bool) {
-	if mayPlay && d.cfg.ModuleConfig().Classes[s.title.class].Capped() {
+	if health.HoldsReservation(mayPlay, d.cfg.ModuleConfig().Classes[s.title.class].Capped()) {
 		d.lostSessions[s.id] = s
 		d.endForPlayer(s, "lost")
 		return
--- a/internal/platform/proxy/attempt.go
+++ b/internal/platform/proxy/attempt.go
@@ -140,7 +140,7 @@
 		a.endAsConnClosed()
 		return
 	}
-	s.connectedAt, s.setupConn = a.conn.connectedAt, a.conn
+	s.setupConn = a.conn
 	a.step(attempt.Event{Kind: attempt.ResponseComplete, Status: 201}) // decide/attempt has HTTP status codes: Created
 	s.attempt = nil
 	p.sessionPlaying(s, p.loop.Now()-a.startedAt, p.outBuf)
--- a/internal/platform/proxy/lostsession.go
+++ b/internal/platform/proxy/lostsession.go
@@ -18,7 +18,7 @@
 		p.sessionEnded(s, headmill.OutcomeReset, causeReset, headmill.LoadReport{})
 		return
 	}
-	lost := &lostSession{id: s.id, holdsCap: p.cfg.Module.Classes[s.class].Capped()}
+	lost := &lostSession{id: s.id, holdsCap: health.HoldsReservation(mayPlay, p.cfg.Module.Classes[s.class].Capped())}
 	s.node.lost[s.moduleID] = lost
 	if lost.holdsCap {
 		p.removePlaying(s, causeReset)
--- a/internal/platform/proxy/nodehealth.go
+++ b/internal/platform/proxy/nodehealth.go
@@ -13,9 +13,6 @@
 	notificationMarginMs = 1000.0
 	// maxConnectDelayMs is the time by which a connection to a media node that runs may come up late (FLEET, "join+mass").
 	maxConnectDelayMs = 1000.0
-	// lostRetentionMs is the longest time for which a media node that could not be reached may come back with the sessions
-	// that were given up there (BRIEF, "go silent").
-	lostRetentionMs = 30000.0
 )
 
 // healthConfig sets when a silent media node is probed with a connection, and when its sessions are given up. What
@@ -37,7 +34,7 @@
 		MaxRetryMs:      math.Min(2*cfg.ConnectMs, maxConnectDelayMs),
 		IdleTimeoutMs:   cfg.KeepAliveMs / 3,                     // before the media node closes the connection as idle
 		OpenTimeoutMs:   probeTimeoutMs(cfg) + sweepIntervalMs/2, // after dialProbe's, which reports the failure first
-		LostRetentionMs: lostRetentionMs,
+		LostRetentionMs: health.LostRetentionMs,
 	}
 }
 
--- a/internal/platform/proxy/session.go
+++ b/internal/platform/proxy/session.go
@@ -47,7 +47,6 @@
 	title          string
 	sdp            string    // held until the session plays
 	deadline       float64   // loop time, ms, at which the viewer gives up
-	connectedAt    float64   // Unix time, ms, at which the connection came up that it was answered on; 0: unknown
 	setupConn      *nodeConn // that it was answered on; nil: adopted
 	answerEnd      int64     // value of the viewer connection's Written once the whole answer has left
 	node           *mediaNode
