decide/nodepool: which connection to a media node carries what, and which makes room

The decisions of nodepool.go in the proxy, the limits of connections and the choice for set-ups, messages, probes and eviction, are a pure package with the tables of its tests; the proxy describes its connections and carries the choice out. The limits are one typed value in place of expressions at each use. Evict moves there from decide/redelivery. Behaviour as it was: tests of the proxy and the fault tests of releases pass, which share one set-up now.

--- a/internal/platform/proxy/medianode.go
+++ b/internal/platform/proxy/medianode.go
@@ -10,12 +10,6 @@
 )
 
 const (
-	// maxConnsPerNode limits the connections for set-ups to one media node. Below it each connection carries one set-up,
-	// so that a malformed answer affects no other; at the limit set-ups share connections.
-	maxConnsPerNode = 8
-	// maxSilentConnsPerNode limits the further connections to a media node that is silent: those that were open before,
-	// and one for each time that it was found silent.
-	maxSilentConnsPerNode = 12
 	// partialMessageTimeoutMs is the time to wait for the rest of a message, which has at most 16 KiB (PROTOCOL,
 	// "Messages").
 	partialMessageTimeoutMs = 300.0
--- a/internal/platform/proxy/nodepool.go
+++ b/internal/platform/proxy/nodepool.go
@@ -3,58 +3,99 @@
 import (
 	"slices"
 
-	"headmill/decide/redelivery"
+	"headmill/decide/nodepool"
 	"headmill/internal/loop"
 )
 
 // The connections to one media node: how many there are, which one carries what, and which ones are closed.
 
+// maxConnsPerNode limits the connections for set-ups to one media node, and maxSilentConnsPerNode the further ones to one
+// that is silent: those that were open before, and one for each time that it was found silent.
+const (
+	maxConnsPerNode       = 8
+	maxSilentConnsPerNode = 12
+)
+
+// connLimits returns the limits of connections to media nodes: a third of the file descriptors, see New.
+func connLimits(cfg *Config) nodepool.Limits {
+	return nodepool.Limits{PerNode: maxConnsPerNode, SilentPerNode: maxSilentConnsPerNode, Total: cfg.Sockets / 3,
+		ProbeReserve: cfg.Sockets / 32}
+}
+
+// pool describes the connections for decide/nodepool, in their order. It is valid until the next call for any media node.
+func (n *mediaNode) pool() []nodepool.Conn {
+	pool := n.proxy.poolBuf[:0]
+	for _, nc := range n.conns {
+		pool = append(pool, nodepool.Conn{
+			DialledAt:   nc.dialledAt,
+			Established: nc.established,
+			Usable:      nc.usable(),
+			Proven:      nc.proven(),
+			Written:     nc.heard,
+			Resting:     !nc.reader.Partial() && !nc.nearIdleTimeout(),
+			Pending:     nc.conn.Pending() > 0,
+			Setups:      len(nc.attempts),
+		})
+	}
+	n.proxy.poolBuf = pool
+	return pool
+}
+
+// connAt returns the connection that decide/nodepool has chosen, nil for none.
+func (n *mediaNode) connAt(i int) *nodeConn {
+	if i < 0 {
+		return nil
+	}
+	return n.conns[i]
+}
+
+// idleConn returns a connection that carries no set-up, or nil.
+func (n *mediaNode) idleConn() *nodeConn {
+	return n.connAt(nodepool.ForSetup(n.pool(), func(i int) bool { return n.conns[i].conn.Reusable() }))
+}
+
+// leastLoadedConn returns the connection for a set-up when no further one may be opened, or nil.
+func (n *mediaNode) leastLoadedConn() *nodeConn { return n.connAt(nodepool.LeastLoaded(n.pool())) }
+
+// messageConn returns the connection for a message about a session, or nil.
+func (n *mediaNode) messageConn() *nodeConn { return n.connAt(nodepool.ForMessage(n.pool())) }
+
 // dial opens a connection for a set-up or a message. It returns nil at a connection limit, on an error, or if another
 // media node now has the address.
 func (n *mediaNode) dial() *nodeConn {
-	silent := 0
-	for _, nc := range n.conns {
-		if nc.established && !nc.proven() {
-			silent++
-		}
-	}
-	// A third of the file descriptors is for connections to media nodes; see New.
-	if len(n.conns)-silent >= maxConnsPerNode || len(n.conns) >= maxConnsPerNode+maxSilentConnsPerNode ||
-		n.proxy.nodeConnCount >= n.proxy.cfg.Sockets/3 {
+	if !n.proxy.connLimits.MayDial(n.pool(), n.proxy.nodeConnCount) {
 		return nil
 	}
 	return n.dialWithin(n.proxy.cfg.ConnectMs)
 }
 
 // dialProbe opens a connection to find out whether the media node is alive, or for the releases that it repeats on a new
-// one. Set-ups can't prevent that: the limits are those of dial and one more, and a thirty-second of the file descriptors
-// above the limit of all. At a limit another connection makes room.
+// one. At a limit another connection makes room; it returns nil if none can.
 func (n *mediaNode) dialProbe() *nodeConn {
-	if len(n.conns) > maxConnsPerNode+maxSilentConnsPerNode {
-		n.evictConn()
-	}
-	if n.proxy.nodeConnCount >= n.proxy.cfg.Sockets/3+n.proxy.cfg.Sockets/32 && !n.proxy.closeUnusedNodeConn() {
+	switch n.probeRoom() {
+	case nodepool.RoomOfNode:
 		n.evictConn()
+	case nodepool.RoomOfAny:
+		if !n.proxy.closeUnusedNodeConn() {
+			n.evictConn()
+		}
 	}
-	if len(n.conns) > maxConnsPerNode+maxSilentConnsPerNode ||
-		n.proxy.nodeConnCount >= n.proxy.cfg.Sockets/3+n.proxy.cfg.Sockets/32 {
+	if n.probeRoom() != nodepool.RoomFree {
 		return nil
 	}
 	return n.dialWithin(probeTimeoutMs(n.proxy.cfg))
 }
 
-// evictConn closes the connection that decide/redelivery chooses, after reading what has arrived on it.
+func (n *mediaNode) probeRoom() nodepool.Room {
+	return n.proxy.connLimits.ForProbe(len(n.conns), n.proxy.nodeConnCount)
+}
+
+// evictConn closes the connection that decide/nodepool chooses, after reading what has arrived on it.
 func (n *mediaNode) evictConn() {
-	conns := make([]redelivery.Connection, len(n.conns))
-	for i, nc := range n.conns {
-		conns[i] = redelivery.Connection{DialledAt: nc.dialledAt, Written: nc.heard,
-			Busy: !nc.established || len(nc.attempts) > 0 || nc.conn.Pending() > 0}
-	}
-	i := redelivery.Evict(conns)
-	if i < 0 {
+	nc := n.connAt(nodepool.Evict(n.pool()))
+	if nc == nil {
 		return
 	}
-	nc := n.conns[i]
 	nc.conn.ReadAvailable()
 	n.removeConn(nc)
 	nc.conn.Close(loop.ErrClosedByOwner)
@@ -107,41 +148,6 @@
 	}
 }
 
-// idleConn returns a connection that carries no set-up, so that a malformed answer to the new one affects no other.
-func (n *mediaNode) idleConn() *nodeConn {
-	for _, nc := range n.conns {
-		if nc.usable() && nc.proven() && len(nc.attempts) == 0 && !nc.reader.Partial() && !nc.nearIdleTimeout() && nc.conn.Reusable() {
-			return nc
-		}
-	}
-	return nil
-}
-
-// leastLoadedConn returns the proven connection with the fewest set-ups, for use when no further one may be opened.
-func (n *mediaNode) leastLoadedConn() *nodeConn {
-	var best *nodeConn
-	for _, nc := range n.conns {
-		if nc.usable() && nc.proven() && (best == nil || len(nc.attempts) < len(best.attempts)) {
-			best = nc
-		}
-	}
-	return best
-}
-
-// messageConn returns the connection for a message about a session: a silent one only if there is no other, as a media
-// node that stands still reads it once it goes on.
-func (n *mediaNode) messageConn() *nodeConn {
-	if best := n.leastLoadedConn(); best != nil {
-		return best
-	}
-	for _, nc := range n.conns {
-		if nc.usable() {
-			return nc
-		}
-	}
-	return nil
-}
-
 // hasEstablishedConn reports whether a connection is open. One that is proves that the process has not ended, which would
 // reset it, whatever is said of new ones.
 func (n *mediaNode) hasEstablishedConn() bool {
--- a/internal/platform/proxy/proxy.go
+++ b/internal/platform/proxy/proxy.go
@@ -16,6 +16,7 @@
 //	decide/discovery  which node list is valid
 //	decide/health     which sessions are lost with a media node
 //	decide/connmgr    which connections from viewers are kept
+//	decide/nodepool   which connection to a media node carries what, how many there are, which one makes room
 //	decide/release    which connection carries the release of an ended session, and when it is repeated
 //	decide/redelivery when a media node gets a connection for releases that it sends again, and what it is sent again
 //	decide/shutdown   the steps of a stop
@@ -43,6 +44,7 @@
 	"headmill/decide/discovery"
 	"headmill/decide/health"
 	"headmill/decide/limits"
+	"headmill/decide/nodepool"
 	"headmill/decide/release"
 	"headmill/decide/shutdown"
 	"headmill/internal/loop"
@@ -145,7 +147,9 @@
 	retransmitter      *release.Retransmitter
 	earlyEnds          release.EarlyEnds
 	nodeConnCount      int // open connections to all media nodes
-	pendingSetups      int // sessions in statePending
+	connLimits         nodepool.Limits
+	poolBuf            []nodepool.Conn // see mediaNode.pool
+	pendingSetups      int             // sessions in statePending
 	stopRequested      bool
 	skipDrain          bool
 	outBuf             []byte           // reused for outgoing messages
@@ -159,7 +163,7 @@
 func New(cfg *Config, eventLoop *loop.Loop, log *slog.Logger) (*Proxy, error) {
 	p := &Proxy{cfg: cfg, loop: eventLoop, log: log, sessions: map[uint64]*session{},
 		sessionsByModuleID: map[headmill.SessionID]*session{}, nodes: map[headmill.NodeID]*mediaNode{},
-		viewers: map[connmgr.ConnID]*viewer{}, Done: func() {}}
+		viewers: map[connmgr.ConnID]*viewer{}, connLimits: connLimits(cfg), Done: func() {}}
 	p.unixOffsetMs = float64(time.Now().UnixMicro())/1000 - eventLoop.Now()
 	var err error
 	if p.module, err = headmill.New(cfg.Module, cfg.Seed); err != nil {
--- a/test/faults/redelivery_test.go
+++ b/test/faults/redelivery_test.go
@@ -28,13 +28,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			w := newWorld(t, 11, 1, 3, usualSettings)
-			w.sessionMs = 120000
-			w.directors[0].start()
-			w.startViewers(12, steadyViewers)
-			time.Sleep(2 * time.Second)
-			w.quiet.Store(true)
-			time.Sleep(time.Second)
+			w := newQuietWorld(t, 11, usualSettings)
 			f := w.busiestNode().faces[0]
 			for range c.crossings {
 				if c.stall > 0 {
@@ -65,15 +59,8 @@
 			t.Parallel()
 			s := usualSettings
 			s.keepAlive = 4 * time.Second
-			w := newWorld(t, 12, 1, 3, s)
-			w.sessionMs = 120000
-			d := w.directors[0]
-			d.start()
-			w.startViewers(12, steadyViewers)
-			time.Sleep(2 * time.Second)
-			w.quiet.Store(true)
-			time.Sleep(time.Second)
-			n := w.busiestNode()
+			w := newQuietWorld(t, 12, s)
+			d, n := w.directors[0], w.busiestNode()
 			n.mu.Lock()
 			n.endsLast = true
 			n.mu.Unlock()
@@ -94,6 +81,18 @@
 	}
 }
 
+// newQuietWorld starts a director with three media nodes and about 80 sessions, which play on with no set-up to follow.
+func newQuietWorld(t *testing.T, seed uint64, s settings) *world {
+	w := newWorld(t, seed, 1, 3, s)
+	w.sessionMs = 120000
+	w.directors[0].start()
+	w.startViewers(12, steadyViewers)
+	time.Sleep(2 * time.Second)
+	w.quiet.Store(true)
+	time.Sleep(time.Second)
+	return w
+}
+
 // endSome ends some sessions of a media node, those of one that stands still as it goes on.
 func (w *world) endSome(n *mediaNode, count int) (ended []*session) {
 	w.record(func() {
@@ -113,13 +112,7 @@
 // open.
 func TestReleasesOfANodeThatForgetsConnectionsAreDelivered(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, 13, 1, 3, usualSettings)
-	w.sessionMs = 120000
-	w.directors[0].start()
-	w.startViewers(12, steadyViewers)
-	time.Sleep(2 * time.Second)
-	w.quiet.Store(true)
-	time.Sleep(time.Second)
+	w := newQuietWorld(t, 13, usualSettings)
 	n := w.busiestNode()
 	n.mu.Lock()
 	clear(n.faces[0].conns)
