--- a/internal/platform/proxy/nodepool_test.go
+++ b/internal/platform/proxy/nodepool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -88,3 +89,71 @@
 		t.Errorf("%+v", reply)
 	}
 }
+
+// A connection that its media node may be about to close as idle gets no set-up.
+func TestConnectionNearIdleTimeoutIsNotUsed(t *testing.T) {
+	h := startHarness(t, 1, nil)
+	v := h.dialViewer()
+	node, setup := h.playSession(v, id1)
+	h.runOnLoop(func() {
+		h.proxy.sessions[setup.id].node.conns[0].lastUsed -= h.proxy.cfg.KeepAliveMs - h.proxy.cfg.ConnectMs + 1
+	})
+	v.sendSetup(id2, "free", "1;top:0")
+	if got := node.expect(frame.Setup); got.id != 0xa2 || got.conn == setup.conn {
+		t.Fatalf("%+v: a set-up was sent on a connection near its idle timeout", got)
+	}
+}
+
+// Guards against connections that multiply: each one that is closed as silent, but the last, was replaced by a new one.
+func TestSilentCloseOpensNoConnections(t *testing.T) {
+	h := startHarness(t, 1, nil)
+	v := h.dialViewer()
+	ids := []string{id1, id2}
+	var setups []nodeMessage
+	for _, id := range ids { // each on a connection of its own
+		v.sendSetup(id, "free", "1;top:0")
+		_, setup := h.expectSetup()
+		setups = append(setups, setup)
+	}
+	for _, setup := range setups {
+		setup.sendAnswer("x")
+		v.receive()
+	}
+	node := h.session(id1).node
+	h.runOnLoop(func() {
+		if len(node.conns) != 2 {
+			t.Errorf("%d connections: the test proves nothing", len(node.conns))
+		}
+		node.closeUnusedConns()
+	})
+	h.runOnLoop(func() {}) // Closed is called after the iteration
+	h.runOnLoop(func() {
+		if len(node.conns) != 0 {
+			t.Errorf("%d connections opened", len(node.conns))
+		}
+	})
+}
+
+// Guards against descriptors that a media node uses up by standing still: the connections that are opened to find out whether
+// it is alive stay bounded, and the one on which its session was set up stays open.
+func TestConnectionsToASilentNodeAreBounded(t *testing.T) {
+	h := startHarness(t, 1, nil)
+	v := h.dialViewer()
+	h.playSession(v, id1)
+	node := h.session(id1).node
+	var first *nodeConn
+	h.runOnLoop(func() { first = node.conns[0] })
+	for range 3 * maxSilentConnsPerNode {
+		h.waitForClock()
+		h.runOnLoop(node.ensureConn)
+		h.waitFor("the connection does not come up", func(Stats) (up bool) {
+			h.runOnLoop(func() { up = node.conns[len(node.conns)-1].established })
+			return up
+		})
+	}
+	h.runOnLoop(func() {
+		if count := len(node.conns); count > maxConnsPerNode+maxSilentConnsPerNode+1 || !slices.Contains(node.conns, first) {
+			t.Errorf("%d connections, the first one is open: %v", count, slices.Contains(node.conns, first))
+		}
+	})
+}
