Stand-in media node: an event stream that is not read ends

It dropped events, also ends of sessions, for a director that did not read 4,096 others. The stream stayed open, so no list told what was missed. Now it ends, and the next one begins with the list.

--- a/internal/standin/medianode/node.go
+++ b/internal/standin/medianode/node.go
@@ -98,8 +98,8 @@
 
 // eventStream is the queue of events to one director.
 type eventStream struct {
-	events   chan string
-	replaced chan struct{} // closed when the director opens another stream
+	events chan string
+	ended  chan struct{} // closed when the director opens another stream, or does not read this one
 }
 
 // Node is a running stand-in of a media node.
@@ -400,11 +400,12 @@
 
 // handleEvents serves the event stream of one director: a hello event with the
 // director's sessions, then events from a bounded queue and keep-alive
-// comments. A new stream of the same director replaces the old one. Events that
-// find the queue full, because the director does not read, are dropped.
+// comments. A new stream of the same director replaces the old one. A stream
+// whose queue is full, because the director does not read, ends: the list of
+// the next one tells what it has missed.
 func (node *Node) handleEvents(w http.ResponseWriter, r *http.Request) {
 	director := r.URL.Query().Get("director")
-	stream := &eventStream{events: make(chan string, 4096), replaced: make(chan struct{})} // 4096 queued events
+	stream := &eventStream{events: make(chan string, 4096), ended: make(chan struct{})} // 4096 queued events
 	node.mu.Lock()
 	names := []string{}
 	for _, s := range node.sessions {
@@ -417,7 +418,7 @@
 	delete(node.disconnectedAt, director)
 	node.mu.Unlock()
 	if previous != nil {
-		close(previous.replaced)
+		close(previous.ended)
 	}
 	hello, _ := json.Marshal(map[string]any{"boot": node.bootID, "sessions": names})
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -439,7 +440,7 @@
 			fmt.Fprint(w, text)
 		case <-keepAlive.C:
 			fmt.Fprint(w, ":\n\n")
-		case <-stream.replaced:
+		case <-stream.ended:
 			return
 		case <-node.stop:
 			return
@@ -456,8 +457,7 @@
 	node.sendText(director, fmt.Sprintf("event: %s\ndata: %s\n\n", kind, data), lateMs)
 }
 
-// sendText queues a formatted event for a director after a delay; it drops the event if the director has no stream
-// or its queue is full.
+// sendText queues a formatted event for a director after a delay; it drops the event if the director has no stream.
 func (node *Node) sendText(director, text string, lateMs float64) {
 	enqueue := func() {
 		node.mu.Lock()
@@ -467,6 +467,7 @@
 			select {
 			case stream.events <- text:
 			default:
+				node.endStream(director, stream)
 			}
 		}
 	}
@@ -477,6 +478,17 @@
 	go enqueue()
 }
 
+// endStream ends a director's event stream, unless it has ended.
+func (node *Node) endStream(director string, stream *eventStream) {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	if node.streams[director] == stream {
+		delete(node.streams, director)
+		node.disconnectedAt[director] = time.Now()
+		close(stream.ended)
+	}
+}
+
 // bandwidthShare returns the part of its rate that each session gets, 0 to 1.
 func (node *Node) bandwidthShare() float64 {
 	return math.Min(1, 1/math.Max(math.Max(node.demandKB()/node.linkKB(), node.uplinkLoad), 1e-9))
