--- a/test/faults/redelivery_test.go
+++ b/test/faults/redelivery_test.go
@@ -81,12 +81,12 @@
 	}
 }
 
-// newQuietWorld starts a director with three media nodes and about 80 sessions, which play on with no set-up to follow.
+// newQuietWorld starts a director with three media nodes and some hundred sessions, which play on with no set-up to follow.
 func newQuietWorld(t *testing.T, seed uint64, s settings) *world {
 	w := newWorld(t, seed, 1, 3, s)
 	w.sessionMs = 120000
 	w.directors[0].start()
-	w.startViewers(12, steadyViewers)
+	w.startViewers(40, steadyViewers) // so many that set-ups overlap, each on a connection of its own
 	time.Sleep(2 * time.Second)
 	w.quiet.Store(true)
 	time.Sleep(time.Second)
