--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,13 +1,4 @@
 #!/usr/bin/env bash
 # A media node is lost for 5 s and comes back with a new process: are the viewers of its sessions told?
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
-set -u
-cd "$(dirname "$0")/../.." || exit 2
-if [ ! -x bin/headmill ] || [ ! -x bin/standin2 ]; then
-	echo "build first: the line build of deploy/balancer.toml, then review/build-2.sh" >&2
-	exit 2
-fi
-export TMPDIR
-TMPDIR=$(mktemp -d) || exit 2
-trap 'rm -rf "$TMPDIR"' EXIT
-bin/standin2 lostzone . review/6/record.txt
+exec bash "$(dirname "$0")/../standin2/play.sh" lostzone 6
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,13 +1,4 @@
 #!/usr/bin/env bash
 # A set-up is reset under its answer and plays elsewhere; later its director is killed: is the session handed over?
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
-set -u
-cd "$(dirname "$0")/../.." || exit 2
-if [ ! -x bin/headmill ] || [ ! -x bin/standin2 ]; then
-	echo "build first: the line build of deploy/balancer.toml, then review/build-2.sh" >&2
-	exit 2
-fi
-export TMPDIR
-TMPDIR=$(mktemp -d) || exit 2
-trap 'rm -rf "$TMPDIR"' EXIT
-bin/standin2 handover . review/7/record.txt
+exec bash "$(dirname "$0")/../standin2/play.sh" handover 7
