--- a/review/standin2/node.go
+++ b/review/standin2/node.go
@@ -161,6 +161,7 @@
 func (n *node) vanish() (lost []uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.acceptAll() // what is in the queue belongs to this process
 	n.w.logf("%s: the machine vanishes; its process and its %d sessions end", n.name, len(n.sessions))
 	n.vanished = true
 	n.block()
@@ -195,6 +196,7 @@
 func (n *node) cutOff() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.acceptAll()
 	n.w.logf("%s: is cut off from the director; its %d sessions stand", n.name, len(n.sessions))
 	n.cut = true
 	n.block()
@@ -403,15 +405,18 @@
 	}
 }
 
-// sendNotes tells the load on one session. The lock is held.
+// sendNotes tells the loads of link and uplink on one session. The lock is held.
 func (n *node) sendNotes() {
 	total := 0.0
 	for _, s := range n.sessions {
-		total += levelKB[min(max(s.rung, 0), len(levelKB)-1)]
+		total += levelKB[min(max(s.rung, 0), len(levelKB)-1)] * rateScale[s.class]
 	}
+	uplink := n.w.uplinkKB(n, total) / (linkKB * float64(len(n.w.nodes)))
 	for _, s := range n.sessions {
 		if nc := n.connFor(s); nc != nil {
-			nc.write(encodeFrame(typeNote, s.id, param{paramNoteKind, "port"}, param{paramNoteValue, fmt.Sprintf("%.3f", total/linkKB)}))
+			for kind, load := range map[string]float64{"port": total / linkKB, "spine": uplink} {
+				nc.write(encodeFrame(typeNote, s.id, param{paramNoteKind, kind}, param{paramNoteValue, fmt.Sprintf("%.3f", load)}))
+			}
 		}
 		return
 	}
--- a/review/standin2/viewer.go
+++ b/review/standin2/viewer.go
@@ -16,8 +16,12 @@
 	w       *world
 	conn    net.Conn
 	writing sync.Mutex
+	carries []*request // sent or named on it; under the lock of the world
 }
 
+// restLimit is the time after which a viewer closes a connection that carries no session (PROTOCOL.md).
+const restLimit = 4 * time.Second
+
 func (w *world) dialViewer() (*viewer, error) {
 	conn, err := net.DialTimeout("tcp4", w.listen, time.Second)
 	if err != nil {
@@ -25,9 +29,32 @@
 	}
 	v := &viewer{w: w, conn: conn}
 	go v.read()
+	go v.rest()
 	return v, nil
 }
 
+// busy reports whether the connection carries an open set-up or a session.
+func (v *viewer) busy() bool {
+	v.w.mu.Lock()
+	defer v.w.mu.Unlock()
+	for _, r := range v.carries {
+		if r.endedAt.IsZero() && (r.answer == "" || r.answer == "served" && r.releasedAt.IsZero()) {
+			return true
+		}
+	}
+	return false
+}
+
+// rest closes the connection once it has carried nothing for the time of the page.
+func (v *viewer) rest() {
+	for idleSince := time.Now(); time.Since(idleSince) < restLimit; time.Sleep(100 * time.Millisecond) {
+		if v.busy() {
+			idleSince = time.Now()
+		}
+	}
+	v.conn.Close()
+}
+
 func (v *viewer) send(text string) {
 	v.writing.Lock()
 	defer v.writing.Unlock()
@@ -49,6 +76,7 @@
 	w.mu.Lock()
 	w.requests[r.id] = r
 	w.order = append(w.order, r)
+	v.carries = append(v.carries, r)
 	w.mu.Unlock()
 	w.logf("viewer: set-up %016x, class %s, title %s, left %d ms", r.id, name, r.title, r.left.Milliseconds())
 	v.send(fmt.Sprintf(`{"type":"setup","id":"%016x","fields":{"class":"%s","left":"%d","tenant":"hanbit-mobile","key":"%s","extras":"%s;viewer:%016x"},"sdp":"v=0\r\no=%016x\r\n"}`,
@@ -59,6 +87,7 @@
 // name hands a session that stands over to a director that has started anew.
 func (v *viewer) name(r *request) {
 	v.w.logf("viewer: names %016x, which stands at %s", r.id, r.node)
+	v.w.update(r.id, func(r *request) { v.carries = append(v.carries, r) })
 	v.send(fmt.Sprintf(`{"type":"setup","id":"%016x","fields":{"class":"%s","left":"%d","tenant":"hanbit-mobile","key":"%s","extras":"%s;viewer:%016x;at:%s"},"sdp":"v=0\r\no=%016x\r\n"}`,
 		r.id, r.class, r.left.Milliseconds(), r.title, r.extras, r.id, r.node, r.id))
 }
