Proxy tests: the reload without a descriptor leaves none free, whoever closes one

The test set the process's limit to the lowest free descriptor. Connections of earlier tests, which other goroutines close, then freed one below it between the limit and the check.

The limit is now 3, below which standard input, output and error stay open, so no descriptor can come free. The test closes one itself after the limit is set, and asks for the error of a full table rather than for any error.

The product is unchanged.

--- a/internal/platform/proxy/stop_test.go
+++ b/internal/platform/proxy/stop_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"errors"
 	"net"
 	"testing"
 	"time"
@@ -70,25 +71,32 @@
 	})
 }
 
-// No file descriptor is free when the discovery service moves: the existing socket is connected to the new address.
+// No file descriptor is free when the discovery service moves: the existing socket is connected to the new address. Other
+// goroutines of the tests may close descriptors at any time, as the one closed here.
 func TestReloadWithoutADescriptor(t *testing.T) {
+	const descriptorLimit = 3 // standard input, output and error stay open, so no lower descriptor is ever free
 	h := startHarness(t, 1, nil)
 	other, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer other.Close()
+	closedMeanwhile, err := unix.Dup(0)
+	if err != nil {
+		t.Fatal(err)
+	}
 	h.runOnLoop(func() {
 		var limit unix.Rlimit
 		if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
 			t.Error(err)
 		}
-		free, _ := unix.Dup(0)
-		unix.Close(free)
-		unix.Setrlimit(unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: uint64(free), Max: limit.Max})
+		if err := unix.Setrlimit(unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: descriptorLimit, Max: limit.Max}); err != nil {
+			t.Error(err)
+		}
 		defer unix.Setrlimit(unix.RLIMIT_NOFILE, &limit)
-		if _, err := h.loop.DialPacket(other.LocalAddr().String(), func([]byte) {}); err == nil {
-			t.Error("a descriptor is free: the test proves nothing")
+		unix.Close(closedMeanwhile)
+		if _, err := h.loop.DialPacket(other.LocalAddr().String(), func([]byte) {}); !errors.Is(err, unix.EMFILE) {
+			t.Errorf("a descriptor may be free, the test proves nothing: %v", err)
 		}
 		if err := h.proxy.discovery.connect(other.LocalAddr().String()); err != nil {
 			t.Error(err)
