--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -155,6 +155,15 @@
 // Listed tells whether a media node is on the list.
 func (l *List) Listed(id headmill.NodeID) bool { return l.nodes[id] != nil }
 
+// StartedAt is when the present process of a listed media node started, on the clock of Apply's now; 0: long ago, or it is
+// not listed.
+func (l *List) StartedAt(id headmill.NodeID) float64 {
+	if node := l.nodes[id]; node != nil {
+		return node.startedAt
+	}
+	return 0
+}
+
 // Ready tells whether a media node may be sent set-ups: listed, and not draining.
 func (l *List) Ready(id headmill.NodeID) bool {
 	node := l.nodes[id]
--- a/decide/health/health.go
+++ b/decide/health/health.go
@@ -32,6 +32,8 @@
 //	SessionEnded    removes the session or its set-up; without any left the media node is unused
 //	LostSessionEnded
 //	                removes a session that was given up
+//	ProcessStarted  the sessions that were set up before it, also given-up ones, have ended with the process before: loses
+//	                them; see process.go
 //	StreamOpened    opening, broken, and down with given-up sessions: compares the sessions where the stream lists them,
 //	                reports lost ones and orphans, ends the given-up ones (to up); else ignored
 //	StreamActivity  opening, up, broken: counts as contact; else ignored. In any state, unless the stream lists sessions,
@@ -73,10 +75,11 @@
 // The kinds of events.
 const (
 	SetupSent        EventKind = iota // Node, Session: a set-up is sent there
-	SessionStarted                    // Node, Session: the media node has just answered that it plays there
+	SessionStarted                    // Node, Session, ConnectedAt: the media node has just answered that it plays there
 	SessionAdopted                    // Node, Session: it plays there, by an earlier answer or a viewer's word
 	SessionEnded                      // Node, Session: it ended, or its set-up failed
 	LostSessionEnded                  // Node, Session: the media node has reported the end of a session that was given up
+	ProcessStarted                    // Node, ProcessStartedAt: the present process of the media node started then
 	StreamOpened                      // Node, BootID, Sessions (with Config.StreamListsSessions): the stream has just come up
 	StreamActivity                    // Node: bytes from it
 	StreamFailed                      // Node, ConnRefused: the stream ended, or could not be opened
@@ -91,6 +94,10 @@
 	BootID      string      // of the process that opened the stream; kept, but not used for a decision
 	Sessions    []SessionID // what the media node runs for this director
 	ConnRefused bool        // the host of the media node answered that nothing listens there
+	// ConnectedAt is when the connection came up that a session was answered on. 0, the start of the director, if an
+	// earlier process of the director set the session up, or if the caller sends no ProcessStarted.
+	ConnectedAt      float64
+	ProcessStartedAt float64
 }
 
 // ActionKind tells which fields of an Action are set.
@@ -151,17 +158,30 @@
 	id                  NodeID
 	state               State
 	bootID              string
-	pendingSetups       map[SessionID]bool    // set-ups sent and not answered
-	sessions            map[SessionID]float64 // sessions that play, and since when
-	givenUp             map[SessionID]float64 // sessions that were given up after silence, and when
-	openedAt            float64               // when the stream was requested
-	lastContactAt       float64               // last contact; at first, when the stream was requested
-	retryAt             float64               // when to open the stream again
+	pendingSetups       map[SessionID]bool           // set-ups sent and not answered
+	sessions            map[SessionID]playingSession // sessions that play
+	givenUp             map[SessionID]givenUpSession // sessions that were given up after silence
+	processStartedAt    float64                      // of the newest process that is known; 0: before the director's
+	openedAt            float64                      // when the stream was requested
+	lastContactAt       float64                      // last contact; at first, when the stream was requested
+	retryAt             float64                      // when to open the stream again
 	retryDelayMs        float64
 	consecutiveRefusals int     // connections refused in a row; see refusalsUntilDown
 	unusedSince         float64 // since when there are no sessions and no pending set-ups
 }
 
+// playingSession is a session that plays.
+type playingSession struct {
+	since       float64
+	connectedAt float64 // see Event
+}
+
+// givenUpSession is a session that was given up after silence.
+type givenUpSession struct {
+	at          float64
+	connectedAt float64 // see Event
+}
+
 // Monitor is the state of all media nodes.
 type Monitor struct {
 	cfg         Config
@@ -212,8 +232,8 @@
 			if ev.Kind != SetupSent && ev.Kind != SessionStarted && ev.Kind != SessionAdopted {
 				continue
 			}
-			node = &nodeState{id: ev.Node, pendingSetups: map[SessionID]bool{}, sessions: map[SessionID]float64{},
-				givenUp: map[SessionID]float64{}}
+			node = &nodeState{id: ev.Node, pendingSetups: map[SessionID]bool{}, sessions: map[SessionID]playingSession{},
+				givenUp: map[SessionID]givenUpSession{}}
 			m.nodes[ev.Node] = node
 			i, _ := slices.BinarySearchFunc(m.sortedNodes, node, func(a, b *nodeState) int { return cmp.Compare(a.id, b.id) })
 			m.sortedNodes = slices.Insert(m.sortedNodes, i, node)
@@ -234,13 +254,17 @@
 		}
 	case SessionStarted, SessionAdopted:
 		delete(node.pendingSetups, ev.Session)
-		node.sessions[ev.Session] = m.now
+		node.sessions[ev.Session] = playingSession{since: m.now, connectedAt: ev.ConnectedAt}
 		if ev.Kind == SessionStarted { // the answer to the set-up is contact as well as a byte on the stream is
 			node.lastContactAt = math.Max(node.lastContactAt, m.now)
 		}
 		if node.state == StateIdle || node.state == StateDown {
 			m.openStream(node)
 		}
+		m.loseEarlierSessions(node)
+	case ProcessStarted:
+		node.processStartedAt = math.Max(node.processStartedAt, ev.ProcessStartedAt)
+		m.loseEarlierSessions(node)
 	case SessionEnded:
 		delete(node.pendingSetups, ev.Session)
 		delete(node.sessions, ev.Session)
@@ -303,7 +327,7 @@
 		}
 	}
 	for _, session := range sortedSessions(node.sessions) {
-		if !running[session] && node.sessions[session] < node.openedAt {
+		if !running[session] && node.sessions[session].since < node.openedAt {
 			m.loseSession(node, session, false)
 		}
 	}
@@ -332,7 +356,7 @@
 	}
 }
 
-func sortedSessions(sessions map[SessionID]float64) []SessionID {
+func sortedSessions[V any](sessions map[SessionID]V) []SessionID {
 	out := make([]SessionID, 0, len(sessions))
 	for session := range sessions {
 		out = append(out, session)
@@ -342,10 +366,11 @@
 }
 
 func (m *Monitor) loseSession(node *nodeState, session SessionID, mayPlay bool) {
+	connectedAt := node.sessions[session].connectedAt
 	delete(node.sessions, session)
 	m.out = append(m.out, Action{Kind: SessionLost, Node: node.id, Session: session, MayPlay: mayPlay})
 	if mayPlay {
-		node.givenUp[session] = m.now
+		node.givenUp[session] = givenUpSession{at: m.now, connectedAt: connectedAt}
 	}
 	if node.unused() {
 		node.unusedSince = m.now
@@ -416,7 +441,7 @@
 			m.openStream(node)
 		}
 		for _, session := range sortedSessions(node.givenUp) {
-			if m.now-node.givenUp[session] > m.cfg.LostRetentionMs {
+			if m.now-node.givenUp[session].at > m.cfg.LostRetentionMs {
 				m.lostSessionGone(node, session)
 			}
 		}
--- a/internal/platform/proxy/medianode.go
+++ b/internal/platform/proxy/medianode.go
@@ -33,6 +33,7 @@
 	lastUsed    float64              // loop time, ms
 	silentSince float64              // loop time, ms, at which it was last found silent; see nodeConn.proven
 	redelivery  *redelivery.Schedule
+	startedAt   float64 // Unix time, ms, of the start of its process; see updateProcessStart
 }
 
 // mediaNode returns the state of a media node, and creates it where there is none.
@@ -41,7 +42,7 @@
 	if n == nil {
 		n = &mediaNode{proxy: p, id: id, sessions: map[uint64]*session{},
 			lost: map[headmill.SessionID]*lostSession{}, redelivery: redelivery.New(redeliveryConfig(p.cfg))}
-		n.name, n.addr = p.nodeList.Name(id), p.nodeList.Addr(id)
+		n.name, n.addr, n.startedAt = p.nodeList.Name(id), p.nodeList.Addr(id), p.nodeList.StartedAt(id)
 		p.nodes[id] = n
 	}
 	n.lastUsed = p.loop.Now()
--- a/internal/platform/proxy/proxy.go
+++ b/internal/platform/proxy/proxy.go
@@ -293,6 +293,7 @@
 		}
 		for _, n := range p.nodes {
 			n.loseReplacedSessions()
+			n.updateProcessStart()
 		}
 	}
 	return err
--- a/internal/platform/proxy/session.go
+++ b/internal/platform/proxy/session.go
@@ -177,6 +177,7 @@
 	p.queueEvent(ev)
 	p.queueHealthEvent(health.Event{Kind: health.SessionAdopted, Node: health.NodeID(node),
 		Session: health.SessionID(s.moduleID)})
+	s.node.reportProcessStart() // the session may have ended with a process before
 }
 
 // sessionPlaying marks a session as playing and writes its answer, given as the finished line, to the viewer.
@@ -194,8 +195,9 @@
 	p.queueEvent(headmill.Event{Kind: headmill.EvAttemptPlaying, Session: s.moduleID, Node: s.node.id,
 		LatencyMs: latencyMs})
 	p.queueHealthEvent(health.Event{Kind: health.SessionStarted, Node: health.NodeID(s.node.id),
-		Session: health.SessionID(s.moduleID)})
-	p.sendRung(s) // a change during the set-up may not have been sent
+		Session: health.SessionID(s.moduleID), ConnectedAt: s.setupConn.connectedAt - p.unixOffsetMs})
+	s.node.reportProcessStart() // the answer may be one of a process before
+	p.sendRung(s)               // a change during the set-up may not have been sent
 }
 
 // sessionEnded removes a session that played and reports its end to the module and, unless the viewer ended it, to the
--- a/test/faults/discovery_test.go
+++ b/test/faults/discovery_test.go
@@ -55,6 +55,19 @@
 	l.world.note("list v%d: %s draining=%v gone=%v", version, n.name, draining, gone)
 }
 
+// startedAnew shows the start of a media node's process, as of now.
+func (l *nodeList) startedAnew(n *mediaNode) { l.startedAnewAt(n, time.Now()) }
+
+// startedAnewAt shows the start of a media node's process.
+func (l *nodeList) startedAnewAt(n *mediaNode, at time.Time) {
+	l.mu.Lock()
+	l.version++
+	l.entries[n.name].startedMs = at.UnixMilli()
+	version := l.version
+	l.mu.Unlock()
+	l.world.note("list v%d: %s has started anew", version, n.name)
+}
+
 // replace takes a media node off the list and adds its successor. The lock is held.
 func (l *nodeList) replace(old, fresh *mediaNode, startedMs int64) {
 	l.version++
--- a/test/faults/medianode_test.go
+++ b/test/faults/medianode_test.go
@@ -526,6 +526,15 @@
 	}
 }
 
+// resetAllConns resets all connections of the node, which goes on with its sessions.
+func (n *mediaNode) resetAllConns() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, f := range n.faces {
+		f.resetConns()
+	}
+}
+
 func (f *nodeFace) resetConns() {
 	now := f.node.world.now()
 	for nc := range f.conns {
@@ -577,6 +586,13 @@
 // backlog is the length of a listener's queue.
 const backlog = 128
 
+// isAway tells whether the process has ended, with its machine or alone; another one starts when the node is up again.
+func (n *mediaNode) isAway() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state == nodeVanished || n.state == nodeDead
+}
+
 // claim reserves the node for one fault; it returns false if another one has it.
 func (n *mediaNode) claim() bool {
 	n.mu.Lock()
--- a/test/faults/soak_test.go
+++ b/test/faults/soak_test.go
@@ -171,10 +171,14 @@
 		}
 		k.after(length, func() {
 			back.Store(true)
+			wasAway, startedAt := n.isAway(), time.Now()
 			n.setState(nodeUp)
 			n.setSpoilt(0)
-			if k.list.isGone(n) {
+			switch {
+			case k.list.isGone(n):
 				k.list.set(n, false, false)
+			case wasAway:
+				k.list.startedAnewAt(n, startedAt)
 			}
 			n.unclaim()
 		})
