--- a/decide/release/release_test.go
+++ b/decide/release/release_test.go
@@ -74,19 +74,36 @@
 func TestEarlyEnds(t *testing.T) {
 	e := EarlyEnds{RetentionMs: 100, MaxEnds: 2}
 	for session := range SessionID(3) {
-		e.Add(float64(session), session, 40+int(session))
+		e.Add(float64(session), session, 1, 40+int(session))
 	}
 	for _, c := range []struct {
 		at      float64 // ms
 		session SessionID
 		cause   int
 	}{{10, 0, 0}, {10, 1, 41}, {10, 1, 0}, {101.9, 2, 42}} {
-		if cause, ok := e.Take(c.at, c.session); cause != c.cause || ok != (c.cause != 0) {
+		if cause, ok := e.Take(c.at, c.session, 1); cause != c.cause || ok != (c.cause != 0) {
 			t.Errorf("session %d at %v ms: cause %d, %v", c.session, c.at, cause, ok)
 		}
 	}
-	e.Add(200, 7, 41)
-	if _, ok := e.Take(300, 7); ok {
+	e.Add(200, 7, 1, 41)
+	if _, ok := e.Take(300, 7, 1); ok {
 		t.Error("an end is remembered for too long")
 	}
 }
+
+// Guards against the end of an attempt that is taken for the end of its session, which plays at another media node (review/7).
+func TestEarlyEndsOfOtherNodes(t *testing.T) {
+	const session, ended, playing = SessionID(7), NodeID(1), NodeID(2)
+	e := EarlyEnds{RetentionMs: 100, MaxEnds: 4}
+	e.Add(0, session, ended, 31)
+	if cause, ok := e.Take(1, session, playing); ok {
+		t.Errorf("ended at another media node, cause %d", cause)
+	}
+	e.Add(2, session, playing, 41)
+	if cause, ok := e.Take(3, session, playing); !ok || cause != 41 {
+		t.Errorf("cause %d, %v: want the end that the named media node has reported", cause, ok)
+	}
+	if cause, ok := e.Take(4, session, ended); !ok || cause != 31 {
+		t.Errorf("cause %d, %v: want the end of the attempt", cause, ok)
+	}
+}
--- a/internal/platform/proxy/nodeconn.go
+++ b/internal/platform/proxy/nodeconn.go
@@ -194,7 +194,7 @@
 		} else if moduleID, ok := node.findLost(msg.Session); ok {
 			node.lostSessionEnded(moduleID, report)
 		} else {
-			p.earlyEnds.Add(p.loop.Now(), release.SessionID(msg.Session), int(msg.Cause()))
+			p.earlyEnds.Add(p.loop.Now(), release.SessionID(msg.Session), release.NodeID(node.id), int(msg.Cause()))
 		}
 		nc.conn.Write(frame.AppendReleased(nil, msg.Session))
 	case frame.Feedback:
--- a/internal/platform/proxy/release_test.go
+++ b/internal/platform/proxy/release_test.go
@@ -175,3 +175,38 @@
 		t.Fatalf("%+v", reply)
 	}
 }
+
+// Guards against a viewer that is told, after a restart of the director, that its session is over, though it plays: an attempt of
+// it ended at another media node, which repeats that end on the first connection (review/7), before or after the viewer names the
+// session.
+func TestEndOfAnAttemptElsewhere(t *testing.T) {
+	for name, endFirst := range map[string]bool{"end before the naming": true, "end after the naming": false} {
+		t.Run(name, func(t *testing.T) {
+			h := startHarness(t, 2, nil)
+			v := h.dialViewer()
+			v.sendExistingSession("00000000000000a3", h.nodes[1].name) // opens a connection to each media node
+			v.sendExistingSession("00000000000000a4", h.nodes[0].name)
+			other, named := h.nodes[1], h.nodes[0]
+			endElsewhere := func() {
+				other.anyConn().Write(frame.AppendRelease(nil, 0xa1, causeCancelled))
+				other.expect(frame.Released)
+			}
+			nameSession := func() {
+				before := h.stats().Opened
+				v.sendExistingSession(id1, named.name)
+				h.waitFor("the session is not adopted", func(stats Stats) bool { return stats.Opened > before })
+			}
+			if endFirst {
+				endElsewhere()
+				nameSession()
+			} else {
+				nameSession()
+				endElsewhere()
+			}
+			named.anyConn().Write(frame.AppendRelease(nil, 0xa1, causeNormal))
+			if reply := v.receive(); reply.Type != "release" || reply.ID != id1 || reply.Cause != causeNormal {
+				t.Fatalf("%+v", reply)
+			}
+		})
+	}
+}
--- a/internal/platform/proxy/session.go
+++ b/internal/platform/proxy/session.go
@@ -126,7 +126,7 @@
 		p.log.Debug("session plays at a media node that is not listed", "host", r.playingAt)
 		p.notifySessionEnd(v, id, causeReset)
 		return
-	case r.playingAt != "" && p.endedBeforeAdoption(v, id):
+	case r.playingAt != "" && p.endedBeforeAdoption(v, id, discovery.NodeIDFromName(r.playingAt)):
 		return
 	case r.playingAt == "" && (v.closing || !p.shutdown.Accepts(p.loop.Now())):
 		p.refuseSetup(v, id, r)
@@ -158,8 +158,8 @@
 }
 
 // endedBeforeAdoption notifies the viewer of a session whose media node has reported its end already.
-func (p *Proxy) endedBeforeAdoption(v *viewer, id uint64) bool {
-	cause, ended := p.earlyEnds.Take(p.loop.Now(), release.SessionID(id))
+func (p *Proxy) endedBeforeAdoption(v *viewer, id uint64, node headmill.NodeID) bool {
+	cause, ended := p.earlyEnds.Take(p.loop.Now(), release.SessionID(id), release.NodeID(node))
 	if ended {
 		p.notifySessionEnd(v, id, cause)
 	}
