--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -20,6 +20,13 @@
 	Closed(c *Conn, err error)
 }
 
+// PeerCloseHandler is implemented by handlers that are to know of the peer's end of stream before the input ahead of it is
+// delivered, which may take several iterations.
+type PeerCloseHandler interface {
+	// PeerClosing is called once at most. Data, for what the peer had sent before, and Closed follow.
+	PeerClosing(c *Conn)
+}
+
 type connState uint8
 
 const (
@@ -38,10 +45,12 @@
 	outBuf          []byte
 	written         int64
 	outLimit        int
+	readBudget      int // see SetReadBudget
 	fd              int
 	interest        uint32
 	state           connState
 	readPaused      bool
+	peerClosing     bool // the peer's end of stream, or a reset, has arrived; input may be unread
 	closeAfterFlush bool // close once outBuf has been sent
 }
 
@@ -94,8 +103,11 @@
 		return
 	}
 	var ev uint32
-	if !c.readPaused {
+	switch {
+	case !c.readPaused:
 		ev |= unix.EPOLLIN | unix.EPOLLRDHUP
+	case !c.peerClosing:
+		ev |= unix.EPOLLRDHUP
 	}
 	if len(c.outBuf) > 0 {
 		ev |= unix.EPOLLOUT
@@ -129,6 +141,11 @@
 // bound.
 func (c *Conn) SetOutputLimit(n int) { c.outLimit = n }
 
+// SetReadBudget bounds the input that one iteration of the loop reads, in bytes, so that a peer that sends at full speed does
+// not delay others by the work that its input brings. The rest stays in the kernel until the next iteration. 0 means
+// maxReadsPerEvent times the loop's read buffer.
+func (c *Conn) SetReadBudget(n int) { c.readBudget = n }
+
 // SetReadPaused stops reading, to apply back-pressure to a peer that sends faster than its data is processed;
 // SetReadPaused(false) resumes it.
 func (c *Conn) SetReadPaused(on bool) {
@@ -242,50 +259,6 @@
 	}
 }
 
-// lingeringConn is a closed connection whose peer may still be sending.
-type lingeringConn struct {
-	timer     *Timer
-	bytesLeft int // input bytes still to be discarded before the descriptor is closed
-}
-
-func (l *Loop) startLingering(fd int) {
-	lc := &lingeringConn{bytesLeft: maxLingerBytes}
-	lc.timer = l.After(lingerTimeoutMs, func() { l.stopLingering(fd) })
-	l.lingering[fd] = lc
-	if l.epollCtl(unix.EPOLL_CTL_MOD, fd, unix.EPOLLIN|unix.EPOLLRDHUP) != nil {
-		l.stopLingering(fd)
-	} // input is discarded from the next iteration on: the owner may still be using the loop's read buffer
-}
-
-// discardInput reads and discards what the peer of a lingering connection sends, until end of stream or the byte limit.
-func (l *Loop) discardInput(fd int) {
-	lc := l.lingering[fd]
-	for range maxReadsPerEvent {
-		n, err := unix.Read(fd, l.readBuf)
-		switch {
-		case err == unix.EINTR:
-			continue
-		case err == unix.EAGAIN:
-			return
-		case err != nil || n == 0:
-			l.stopLingering(fd)
-			return
-		}
-		if lc.bytesLeft -= n; lc.bytesLeft <= 0 {
-			l.stopLingering(fd)
-			return
-		}
-	}
-}
-
-func (l *Loop) stopLingering(fd int) {
-	if lc := l.lingering[fd]; lc != nil {
-		delete(l.lingering, fd)
-		l.Cancel(lc.timer)
-		unix.Close(fd)
-	}
-}
-
 // Close closes the connection at once; Closed is called with err at the end of the current iteration. Only the first
 // call has an effect.
 func (c *Conn) Close(err error) {
@@ -380,11 +353,23 @@
 }
 
 func (c *Conn) read(ev uint32) {
-	for range maxReadsPerEvent {
+	if ev&(unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 && !c.peerClosing {
+		c.peerClosing = true
+		if handler, ok := c.handler.(PeerCloseHandler); ok {
+			handler.PeerClosing(c)
+		}
+		c.updateInterest()
+	}
+	buf, budget := c.loop.readBuf, maxReadsPerEvent*len(c.loop.readBuf)
+	if c.readBudget > 0 {
+		budget = c.readBudget
+		buf = buf[:min(len(buf), budget)]
+	}
+	for budget > 0 {
 		if c.readPaused && ev&(unix.EPOLLHUP|unix.EPOLLERR) == 0 {
 			return
 		}
-		n, err := unix.Read(c.fd, c.loop.readBuf)
+		n, err := unix.Read(c.fd, buf)
 		switch {
 		case err == unix.EINTR:
 			continue
@@ -397,8 +382,9 @@
 			c.Close(nil)
 			return
 		}
-		c.handler.Data(c, c.loop.readBuf[:n])
-		if c.state != stateOpen || n < len(c.loop.readBuf) && ev&unix.EPOLLRDHUP == 0 {
+		budget -= n
+		c.handler.Data(c, buf[:n])
+		if c.state != stateOpen || n < len(buf) && ev&unix.EPOLLRDHUP == 0 {
 			return
 		} // the peer's end of stream arrived with its last bytes: both are reported in one iteration
 	}
@@ -407,15 +393,24 @@
 // IsConnRefused reports whether err means that nothing listens at the peer's address.
 func IsConnRefused(err error) bool { return errors.Is(err, unix.ECONNREFUSED) }
 
-// PeerClosed reports whether the peer has closed its side and all that it sent has been read, or the connection is no
-// longer open. It queries the kernel, which may know of the end of stream before the loop has handled it.
+// PeerClosed reports whether the peer has closed its side, or the connection is no longer open. It queries the kernel, which may
+// know of the end of stream before the loop has handled it, and while input ahead of it is unread.
 func (c *Conn) PeerClosed() bool {
-	if c.state != stateOpen {
+	if c.state != stateOpen || c.peerClosing {
 		return true
 	}
-	var b [1]byte
-	n, _, err := unix.Recvfrom(c.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	return err == nil && n == 0 || err != nil && err != unix.EAGAIN && err != unix.EINTR
+	poll := []unix.PollFd{{Fd: int32(c.fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(poll, 0)
+	return err == nil && n > 0
+}
+
+// Unread reports whether the kernel holds input of the connection that was not delivered yet.
+func (c *Conn) Unread() bool {
+	if c.state != stateOpen {
+		return false
+	}
+	n, err := unix.IoctlGetInt(c.fd, unix.SIOCINQ)
+	return err == nil && n > 0
 }
 
 // Reusable reports whether an idle connection can be reused: open, no unread input, no end of stream. It queries the
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -25,7 +25,6 @@
 	"container/heap"
 	"errors"
 	"fmt"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -72,6 +71,8 @@
 	maxLag          float64      // ms; longest iteration since MaxLag was last called: a ready event waits up to that long
 	onIteration     func()       // called at the end of each iteration
 	onStall         func()       // called at the start of an iteration that comes late
+	stallFrom       float64      // ms; start of the iteration before the last one that came late
+	stallTo         float64      // ms; start of the last one that came late
 	stallMs         float64      // time between the starts of two iterations from which the later one comes late
 	localNetwork    netip.Prefix // permitted addresses besides the loopback interface's
 
@@ -111,6 +112,16 @@
 	return nil
 }
 
+// MaxDescriptors returns the number of file descriptors that this process may hold.
+func MaxDescriptors() int {
+	const fallback, most = 1024, 1 << 20
+	var limit unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) != nil {
+		return fallback
+	}
+	return int(min(limit.Cur, most))
+}
+
 func (l *Loop) updateNow() { l.now = float64(time.Since(l.start).Microseconds()) / 1000 }
 
 // Now returns the time of the current iteration in ms since New; it is monotonic.
@@ -181,54 +192,12 @@
 // previous one: the process stood still. Without timers that are due more often, an idle loop counts as stalled too.
 func (l *Loop) OnStall(stallMs float64, f func()) { l.stallMs, l.onStall = stallMs, f }
 
+// LastStall returns the start of the last iteration that came late, and that of the one before it; 0 and 0 if none did.
+func (l *Loop) LastStall() (from, to float64) { return l.stallFrom, l.stallTo }
+
 // Elapsed returns the time since the start of the current iteration, in ms. Now does not advance by it.
 func (l *Loop) Elapsed() float64 { return float64(time.Since(l.start).Microseconds())/1000 - l.now }
 
-// Timer is a scheduled call.
-type Timer struct {
-	dueMs    float64
-	seq      uint64
-	index    int
-	callback func()
-}
-
-// timerHeap orders timers by due time, and by creation where the due times are equal.
-type timerHeap []*Timer
-
-func (h timerHeap) Len() int { return len(h) }
-func (h timerHeap) Less(i, j int) bool {
-	return h[i].dueMs < h[j].dueMs || h[i].dueMs == h[j].dueMs && h[i].seq < h[j].seq
-}
-func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i]; h[i].index, h[j].index = i, j }
-func (h *timerHeap) Push(x any)   { t := x.(*Timer); t.index = len(*h); *h = append(*h, t) }
-func (h *timerHeap) Pop() any {
-	old := *h
-	t := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	t.index = -1
-	return t
-}
-
-// At schedules f for the first iteration at or after the time at, in ms on the clock of Now.
-func (l *Loop) At(at float64, f func()) *Timer {
-	l.timerSeq++
-	t := &Timer{dueMs: at, seq: l.timerSeq, callback: f}
-	heap.Push(&l.timers, t)
-	return t
-}
-
-// After schedules f for ms milliseconds after Now.
-func (l *Loop) After(ms float64, f func()) *Timer { return l.At(l.now+ms, f) }
-
-// Cancel removes a timer; it does nothing for nil and for timers that have fired.
-func (l *Loop) Cancel(t *Timer) {
-	if t != nil && t.index >= 0 {
-		heap.Remove(&l.timers, t.index)
-		t.index = -1
-	}
-}
-
 // Run handles events until Stop is called. It closes all sockets before it returns.
 func (l *Loop) Run() error {
 	defer l.closeAll()
@@ -256,6 +225,7 @@
 		l.updateNow()
 		iterationStart := l.now
 		if l.onStall != nil && iterationStart-previousStart > l.stallMs {
+			l.stallFrom, l.stallTo = previousStart, iterationStart
 			l.onStall()
 		}
 		previousStart = iterationStart
@@ -340,141 +310,3 @@
 
 // Close releases a loop that was never run.
 func (l *Loop) Close() { l.closeAll() }
-
-// localNetworkBits is the prefix length assumed for a director's own network: the platform's documentation places its
-// directors, media nodes and discovery service in one /8 network.
-const localNetworkBits = 8
-
-// SetLocalAddr additionally permits addresses in the private network that contains the director's own address addr,
-// where a platform provides one. Without it, headmill listens on and connects to the loopback interface only.
-func (l *Loop) SetLocalAddr(addr string) error {
-	ap, err := netip.ParseAddrPort(addr)
-	if err != nil {
-		return fmt.Errorf("loop: address %q: expected IPv4:PORT: %w", addr, err)
-	}
-	if ap.Addr().Is4() && ap.Addr().IsPrivate() {
-		l.localNetwork = netip.PrefixFrom(ap.Addr(), localNetworkBits).Masked()
-	}
-	return nil
-}
-
-// checkAddr parses an IPv4 address and checks that it is on the loopback interface or in the director's own network.
-func (l *Loop) checkAddr(addr string) (*unix.SockaddrInet4, error) {
-	ap, err := netip.ParseAddrPort(addr)
-	if err != nil {
-		return nil, fmt.Errorf("loop: address %q: expected IPv4:PORT: %w", addr, err)
-	}
-	if !ap.Addr().Is4() || !ap.Addr().IsLoopback() && !(l.localNetwork.Contains(ap.Addr()) && ap.Addr().IsPrivate()) {
-		return nil, fmt.Errorf("loop: address %q is neither in 127.0.0.0/8 nor in the director's own private network", addr)
-	}
-	return &unix.SockaddrInet4{Port: int(ap.Port()), Addr: ap.Addr().As4()}, nil
-}
-
-// Listener is a listening stream socket.
-type Listener struct {
-	loop       *Loop
-	fd         int
-	addr       string
-	onAccept   func(*Conn) Handler
-	retryTimer *Timer
-}
-
-// Listen opens a listening socket. onAccept is called for each accepted connection and returns its handler, or nil to
-// close the connection.
-func (l *Loop) Listen(addr string, onAccept func(*Conn) Handler) (*Listener, error) {
-	sa, err := l.checkAddr(addr)
-	if err != nil {
-		return nil, err
-	}
-	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return nil, fmt.Errorf("loop: socket: %w", err)
-	}
-	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
-	if err = unix.Bind(fd, sa); err == nil {
-		err = unix.Listen(fd, 4096) // backlog: connections that the kernel queues until they are accepted
-	}
-	if err != nil {
-		unix.Close(fd)
-		return nil, fmt.Errorf("loop: listen on %s: %w", addr, err)
-	}
-	return l.addListener(fd, onAccept)
-}
-
-// ListenFD uses a listening socket inherited from a parent process, for instance from a supervisor that keeps the port
-// open across restarts.
-func (l *Loop) ListenFD(fd int, onAccept func(*Conn) Handler) (*Listener, error) {
-	if err := unix.SetNonblock(fd, true); err != nil {
-		return nil, fmt.Errorf("loop: descriptor %d: %w", fd, err)
-	}
-	unix.CloseOnExec(fd)
-	return l.addListener(fd, onAccept)
-}
-
-func (l *Loop) addListener(fd int, onAccept func(*Conn) Handler) (*Listener, error) {
-	s := &Listener{loop: l, fd: fd, onAccept: onAccept}
-	if got, err := unix.Getsockname(fd); err == nil {
-		s.addr = formatAddr(got)
-	}
-	if err := l.epollCtl(unix.EPOLL_CTL_ADD, fd, unix.EPOLLIN); err != nil {
-		unix.Close(fd)
-		return nil, err
-	}
-	l.listeners[fd] = s
-	return s, nil
-}
-
-func formatAddr(sa unix.Sockaddr) string {
-	if v, ok := sa.(*unix.SockaddrInet4); ok {
-		return net.JoinHostPort(netip.AddrFrom4(v.Addr).String(), fmt.Sprint(v.Port))
-	}
-	return ""
-}
-
-// Addr returns the listening address, with the port that the kernel chose.
-func (s *Listener) Addr() string { return s.addr }
-
-// Close stops listening; accepted connections are unaffected.
-func (s *Listener) Close() {
-	if s.fd < 0 {
-		return
-	}
-	s.loop.Cancel(s.retryTimer)
-	delete(s.loop.listeners, s.fd)
-	unix.Close(s.fd)
-	s.fd = -1
-}
-
-// StopAccepting accepts the connections that are already in the kernel's backlog and then stops listening. Closing the
-// socket without doing so would reset those connections and lose what their peers have sent.
-func (s *Listener) StopAccepting() {
-	for s.fd >= 0 && s.acceptPending() {
-	}
-	s.Close()
-}
-
-// acceptPending accepts up to maxAcceptsPerEvent connections; it reports whether there may be more.
-func (s *Listener) acceptPending() bool {
-	for range maxAcceptsPerEvent {
-		fd, sa, err := unix.Accept4(s.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-		if err != nil {
-			// Out of descriptors or memory: level-triggered readiness would spin, so accepting pauses for 50 ms.
-			if err == unix.EMFILE || err == unix.ENFILE || err == unix.ENOBUFS || err == unix.ENOMEM {
-				s.loop.epollCtl(unix.EPOLL_CTL_MOD, s.fd, 0)
-				s.retryTimer = s.loop.After(50, func() { s.loop.epollCtl(unix.EPOLL_CTL_MOD, s.fd, unix.EPOLLIN) })
-			}
-			return false
-		}
-		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
-		c := &Conn{loop: s.loop, fd: fd, state: stateOpen, peer: sa}
-		h := s.onAccept(c)
-		if h == nil {
-			unix.Close(fd)
-			continue
-		}
-		if c.handler = h; c.fd >= 0 {
-			c.register()
-		}
-	}
-	return true
-}
