--- a/internal/platform/proxy/hold.go
+++ b/internal/platform/proxy/hold.go
@@ -24,7 +24,7 @@
 	if !p.freshness.MayPlace(p.loop.Now()) {
 		return false
 	}
-	p.holding, p.heldLists = false, 0
+	p.holding = false
 	for _, n := range p.nodes {
 		for _, nc := range n.conns {
 			if nc.established {
@@ -35,12 +35,9 @@
 	return true
 }
 
-// queueNodeList queues a node list for the module, while placing is held ahead of what waits.
+// queueNodeList queues a node list for the module, ahead of what was read in the same iteration or waits for the list: a set-up
+// may have been read before a list that arrived with it.
 func (p *Proxy) queueNodeList(ev headmill.Event) {
-	if !p.holding {
-		p.queueEvent(ev)
-		return
-	}
-	p.events = slices.Insert(p.events, p.heldLists, ev)
-	p.heldLists++
+	p.events = slices.Insert(p.events, p.queuedLists, ev)
+	p.queuedLists++
 }
--- a/internal/platform/proxy/proxy.go
+++ b/internal/platform/proxy/proxy.go
@@ -132,7 +132,7 @@
 	actions             []headmill.Action
 	flushing            bool
 	holding             bool    // placing waits for a list; see holdPlacing
-	heldLists           int     // node lists at the front of events, while holding
+	queuedLists         int     // node lists at the front of events
 	unixOffsetMs        float64 // Unix time, ms, at which the loop's clock was 0
 
 	sessions           map[uint64]*session // by protocol id
@@ -258,7 +258,7 @@
 			}
 		}
 		if batch := p.events; len(batch) > 0 {
-			p.events, p.spareEvents = p.spareEvents[:0], batch
+			p.events, p.spareEvents, p.queuedLists = p.spareEvents[:0], batch, 0
 			p.actions = p.module.Step(p.now(), batch, p.actions[:0])
 			for i := range p.actions {
 				p.applyModuleAction(&p.actions[i])
--- a/internal/platform/proxy/race_test.go
+++ b/internal/platform/proxy/race_test.go
@@ -294,3 +294,56 @@
 		})
 	}
 }
+
+// Guards against set-ups that are placed ahead of a drain which the director has received with them (review/8): they arrive first,
+// and the name service's answer follows, while the loop stands still.
+func TestDrainBehindUnreadSetups(t *testing.T) {
+	const warmUps, setups = 3, 2
+	h := startHarness(t, 2, nil)
+	v := h.dialViewer()
+	var preferred *standInNode // the one that set-ups of the title go to
+	var setup nodeMessage
+	for i := range warmUps { // opens a connection, on which set-ups are written at once
+		v.sendSetup(fmt.Sprintf("%016x", 0xa0+i), "free", "2;top:0")
+		preferred, setup = h.expectSetup()
+		setup.sendAnswer("x")
+		v.receive()
+	}
+	h.runOnLoop(func() {
+		for i := range setups {
+			v.sendSetup(fmt.Sprintf("%016x", 0xd0+i), "free", "2;top:0")
+		}
+		time.Sleep(20 * time.Millisecond)
+		h.serveDNS(7, func(i int) bool { return h.nodes[i] == preferred })
+		time.Sleep(100 * time.Millisecond)
+	})
+	if node, _ := h.expectSetup(); node == preferred {
+		t.Fatal("a set-up came to a draining media node")
+	}
+	time.Sleep(100 * time.Millisecond)
+	for len(preferred.received) > 0 {
+		if msg := <-preferred.received; msg.typ == frame.Setup {
+			t.Fatal("a set-up came to a draining media node")
+		}
+	}
+}
+
+// Guards against set-ups that are answered too late, since the time for which they waited in a stall of the process is given to
+// their attempts again (review/9): the media node never answers, so that all of the time is used.
+func TestTimeLeftAfterAStall(t *testing.T) {
+	const left, stall, latest = 1000 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond
+	h := startHarness(t, 1, nil)
+	v := h.dialViewer()
+	h.expectViewerConns(1)
+	var sentAt time.Time
+	h.runOnLoop(func() {
+		sentAt = time.Now()
+		v.send(`{"type":"setup","id":"%s","fields":{"class":"paid","left":"%d","tenant":"acme","key":"7f3a9c21e0b4d655","extras":"home:0;copies:1;top:0"},"sdp":"x"}`,
+			id1, left.Milliseconds())
+		time.Sleep(stall)
+	})
+	reply := v.receive()
+	if took := time.Since(sentAt); took > latest || reply.Type != "release" {
+		t.Errorf("answered by %+v after %v, want one within %v", reply, took, latest)
+	}
+}
--- a/internal/platform/proxy/session.go
+++ b/internal/platform/proxy/session.go
@@ -137,7 +137,7 @@
 	}
 	p.quotas.Acquire(limits.Sessions, 1)
 	if r.playingAt == "" {
-		r.timeLeftMs = p.shutdown.TimeLeft(p.loop.Now(), r.timeLeftMs)
+		r.timeLeftMs = p.shutdown.TimeLeft(p.loop.Now(), v.timeLeftAfterStall(r.timeLeftMs))
 	}
 	p.lastModuleID++
 	s := &session{id: id, moduleID: p.lastModuleID, class: r.class, className: r.className, title: r.title, sdp: r.sdp, viewer: v,
--- a/internal/platform/proxy/viewer.go
+++ b/internal/platform/proxy/viewer.go
@@ -31,6 +31,7 @@
 	partialLine []byte
 	pending     map[*session]struct{} // sessions in statePending that were requested here
 	playing     map[*session]struct{} // sessions that were set up or adopted here
+	drainedAt   float64               // loop time, ms, at which it last had no unread input, if that was soon after a stall
 	closing     bool                  // the connection is about to be closed: set-ups are refused
 }
 
@@ -122,6 +123,7 @@
 			v.proxy.stepConnManager(connmgr.Event{Kind: connmgr.Received, Conn: v.id})
 		}
 		v.proxy.stepConnManager(connmgr.Event{Kind: connmgr.Received, Conn: v.id, Partial: len(v.partialLine) > 0})
+		v.noteDrained()
 	}()
 	for len(data) > 0 && conn.Receiving() {
 		end := bytes.IndexByte(data, '\n')
