--- a/internal/platform/proxy/nodehealth.go
+++ b/internal/platform/proxy/nodehealth.go
@@ -44,6 +44,16 @@
 	return math.Min(maxConnectDelayMs+cfg.ConnectMs, (releaseRetentionMs-notificationMarginMs)/4)
 }
 
+// lastContactAt is when the media node was last heard on a connection that is open: when one came up, or received bytes.
+func (n *mediaNode) lastContactAt() (at float64) {
+	for _, nc := range n.conns {
+		if nc.established {
+			at = max(at, nc.lastHeard)
+		}
+	}
+	return at
+}
+
 // applyHealthAction carries out an action of the health monitor.
 func (p *Proxy) applyHealthAction(action health.Action) {
 	n := p.nodes[headmill.NodeID(action.Node)]
--- a/internal/platform/proxy/race_test.go
+++ b/internal/platform/proxy/race_test.go
@@ -347,3 +347,29 @@
 		t.Errorf("answered by %+v after %v, want one within %v", reply, took, latest)
 	}
 }
+
+// Guards against a seat that is given again while its session stands at a media node that is cut off: its viewer has ended it, and the
+// media node has not been heard since (review/10).
+func TestSeatOfAnEndedSessionIsHeld(t *testing.T) {
+	h := startHarness(t, 1, func(cfg *Config) { cfg.Module.Classes[cfg.ClassIndex["free"]].MaxPerTitle = 1 })
+	v := h.dialViewer()
+	node, setup := h.playSession(v, id1)
+	v.send(`{"type":"release","id":"%s","fields":{},"cause":16}`, id1)
+	if reply := v.receive(); reply.Type != "released" {
+		t.Fatalf("%+v", reply)
+	}
+	node.expect(frame.Release)
+	time.Sleep(2 * endConfirmMs * time.Millisecond)
+	v.sendSetup(id2, "free", "1;top:0")
+	if reply := v.receive(); reply.Type != "release" || reply.Cause != causeCongested {
+		t.Fatalf("the seat was given again: %+v", reply)
+	}
+	for len(node.received) > 0 {
+		if msg := <-node.received; msg.typ == frame.Setup {
+			t.Fatal("the seat was given again: a set-up was sent on")
+		}
+	}
+	setup.sendRelease(causeCancelled)
+	h.waitFor("the session has not ended", func(Stats) bool { return h.sessionCount() == 0 })
+	h.playSession(v, "00000000000000a3")
+}
--- a/internal/platform/proxy/session.go
+++ b/internal/platform/proxy/session.go
@@ -252,13 +252,22 @@
 	case statePlaying:
 		s.state = stateEnding
 		s.node.sendRelease(s.id)
-		s.endTimer = p.loop.After(endConfirmMs, func() {
-			s.endTimer = nil
-			p.sessionEnded(s, headmill.OutcomeCancelled, causeCancelled, headmill.LoadReport{})
-		})
+		p.awaitEndConfirmed(s, p.loop.Now())
 	}
 }
 
+// awaitEndConfirmed ends a session that its viewer has ended and that its media node, which was told at toldAt, does not confirm.
+func (p *Proxy) awaitEndConfirmed(s *session, toldAt float64) {
+	s.endTimer = p.loop.After(endConfirmMs, func() {
+		s.endTimer = nil
+		if !health.EndPresumed(p.cfg.Module.Classes[s.class].Capped(), toldAt, s.node.lastContactAt()) {
+			p.awaitEndConfirmed(s, toldAt) // until decide/health gives the media node's sessions up
+			return
+		}
+		p.sessionEnded(s, headmill.OutcomeCancelled, causeCancelled, headmill.LoadReport{})
+	})
+}
+
 // notifySessionEnd sends a viewer the release of its session, and repeats it until it is confirmed. It prefers the
 // connection v where that is open.
 func (p *Proxy) notifySessionEnd(v *viewer, id uint64, cause int) {
