--- a/decide/inputorder/stall.go
+++ b/decide/inputorder/stall.go
@@ -1,6 +1,3 @@
-// Package inputorder decides what input that is read late means for the requests in it.
-//
-// The package is pure: the caller reports what it reads.
 package inputorder
 
 // Stall is the last time for which the process stood still: what it reads afterwards may have waited for as long.
--- a/internal/platform/proxy/proxy.go
+++ b/internal/platform/proxy/proxy.go
@@ -16,6 +16,7 @@
 //	decide/discovery  which node list is valid
 //	decide/health     which sessions are lost with a media node
 //	decide/connmgr    which connections from viewers are kept
+//	decide/inputorder when a set-up is placed whose viewer has sent more that is still unread
 //	decide/nodepool   which connection to a media node carries what, how many there are, which one makes room
 //	decide/release    which connection carries the release of an ended session, and when it is repeated
 //	decide/redelivery when a media node gets a connection for releases that it sends again, and what it is sent again
@@ -43,6 +44,7 @@
 	"headmill/decide/connmgr"
 	"headmill/decide/discovery"
 	"headmill/decide/health"
+	"headmill/decide/inputorder"
 	"headmill/decide/limits"
 	"headmill/decide/nodepool"
 	"headmill/decide/release"
@@ -150,6 +152,7 @@
 	connLimits         nodepool.Limits
 	poolBuf            []nodepool.Conn // see mediaNode.pool
 	pendingSetups      int             // sessions in statePending
+	unplaced           map[inputorder.RequestID]unplacedRequest
 	stopRequested      bool
 	skipDrain          bool
 	outBuf             []byte           // reused for outgoing messages
@@ -163,7 +166,8 @@
 func New(cfg *Config, eventLoop *loop.Loop, log *slog.Logger) (*Proxy, error) {
 	p := &Proxy{cfg: cfg, loop: eventLoop, log: log, sessions: map[uint64]*session{},
 		sessionsByModuleID: map[headmill.SessionID]*session{}, nodes: map[headmill.NodeID]*mediaNode{},
-		viewers: map[connmgr.ConnID]*viewer{}, connLimits: connLimits(cfg), Done: func() {}}
+		viewers: map[connmgr.ConnID]*viewer{}, connLimits: connLimits(cfg),
+		unplaced: map[inputorder.RequestID]unplacedRequest{}, Done: func() {}}
 	p.unixOffsetMs = float64(time.Now().UnixMicro())/1000 - eventLoop.Now()
 	var err error
 	if p.module, err = headmill.New(cfg.Module, cfg.Seed); err != nil {
--- a/internal/platform/proxy/session.go
+++ b/internal/platform/proxy/session.go
@@ -8,6 +8,7 @@
 	"headmill/decide/connmgr"
 	"headmill/decide/discovery"
 	"headmill/decide/health"
+	"headmill/decide/inputorder"
 	"headmill/decide/limits"
 	"headmill/decide/release"
 	"headmill/internal/loop"
@@ -84,6 +85,7 @@
 		delete(p.sessions, s.id)
 	}
 	delete(p.sessionsByModuleID, s.moduleID)
+	delete(p.unplaced, inputorder.RequestID(s.moduleID))
 }
 
 // releaseSetupQuota releases the quota and the session description of a set-up that is no longer pending.
@@ -154,7 +156,7 @@
 	p.stats.Asked++
 	p.log.Debug("set-up read", "id", logID(id), "class", r.className, "conn", v.id, "left", r.timeLeftMs)
 	p.pendingSetups++
-	p.queueEvent(ev)
+	v.holdRequest(ev)
 }
 
 // endedBeforeAdoption notifies the viewer of a session whose media node has reported its end already.
--- a/internal/platform/proxy/viewer.go
+++ b/internal/platform/proxy/viewer.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"headmill/decide/connmgr"
+	"headmill/decide/inputorder"
 	"headmill/decide/release"
 	"headmill/internal/loop"
 	"headmill/internal/platform/jsonline"
@@ -31,7 +32,9 @@
 	partialLine []byte
 	pending     map[*session]struct{} // sessions in statePending that were requested here
 	playing     map[*session]struct{} // sessions that were set up or adopted here
+	unplaced    inputorder.Queue      // pending set-ups that the module does not have yet
 	drainedAt   float64               // loop time, ms, at which it last had no unread input, if that was soon after a stall
+	placing     bool                  // placeRequests is posted to the loop
 	closing     bool                  // the connection is about to be closed: set-ups are refused
 }
 
@@ -123,8 +126,10 @@
 			v.proxy.stepConnManager(connmgr.Event{Kind: connmgr.Received, Conn: v.id})
 		}
 		v.proxy.stepConnManager(connmgr.Event{Kind: connmgr.Received, Conn: v.id, Partial: len(v.partialLine) > 0})
+		v.placeRequests()
 		v.noteDrained()
 	}()
+	v.unplaced.BytesRead(len(data))
 	for len(data) > 0 && conn.Receiving() {
 		end := bytes.IndexByte(data, '\n')
 		if len(v.partialLine)+len(data) > jsonline.MaxSize && (end < 0 || len(v.partialLine)+end > jsonline.MaxSize) {
