Platform: connections at the limit wait, in place of closing others before they are read

Cause: at the limit the connection without a request that was silent for longest was closed for a new one at once, also one whose request had not been read yet; 14,000 to 58,000 connections a second turned all places over in some ms.

Connections are accepted only where there is room (decide/connmgr, MakeRoom). One without a request makes room after 100 ms at the earliest, the oldest first; what has arrived on it is read before. The package also bounds held input and can keep connections with sessions, which the HTTP front will use.

The fault tests notice when their own process stands still, and hold their network.

--- a/decide/connmgr/connmgr_test.go
+++ b/decide/connmgr/connmgr_test.go
@@ -81,3 +81,91 @@
 		t.Fatalf("SelectForMessage: %d, %v, with %d connections; want 1 and 3", c, ok, m.Len())
 	}
 }
+
+// Guards against connections that are closed before their request is read, since clients that send none dial again as soon as they
+// are closed: places are given away only after a grace, and such clients get half of them at most.
+func TestMakeRoom(t *testing.T) {
+	const maxConns, graceMs = 4, 100
+	m := New(Config{MaxConns: maxConns, ReadTimeoutMs: 2000, IdleTimeoutMs: 10000, RequestGraceMs: graceMs})
+	expect := func(what string, now float64, wantRoom Room, wantConn ConnID) {
+		t.Helper()
+		if room, conn := m.MakeRoom(now); room != wantRoom || conn != wantConn {
+			t.Fatalf("%s: %d, connection %d; want %d, %d", what, room, conn, wantRoom, wantConn)
+		}
+	}
+	accept := func(now float64, id ConnID) { m.Step(now, Event{Kind: Accepted, Conn: id}, nil) }
+	expect("no connection", 0, RoomFree, 0)
+	for id := range ConnID(2) { // two that have sent a request, of which the first was used last
+		accept(0, id+1)
+		m.Step(0, Event{Kind: RequestRead, Conn: id + 1}, nil)
+	}
+	m.Step(1, Event{Kind: Received, Conn: 1}, nil)
+	accept(1000, 3)
+	expect("below the limit", 1000, RoomFree, 0)
+	accept(1010, 4)
+	expect("half of the places are young and without a request", 1011, RoomLater, 0)
+	m.Step(1050, Event{Kind: Received, Conn: 3, Partial: true}, nil)
+	expect("a part of a request gives no more time", 1100, RoomByClosing, 3)
+	m.Step(1100, Event{Kind: CloseForLimit, Conn: 3}, nil)
+	expect("below the limit again", 1100, RoomFree, 0)
+	accept(1101, 5)
+	m.Step(1101, Event{Kind: RequestRead, Conn: 5}, nil)
+	expect("fewer than half are young: the one that was unused for longest", 1102, RoomByClosing, 2)
+	m.Step(1102, Event{Kind: CloseForLimit, Conn: 2}, nil)
+	accept(1102, 6)
+	m.Step(1102, Event{Kind: RequestRead, Conn: 4}, nil)
+	m.Step(1102, Event{Kind: RequestRead, Conn: 6}, nil)
+	for _, id := range []ConnID{1, 4, 5, 6} {
+		m.Step(1103, Event{Kind: UseChanged, Conn: id, PendingSetups: 1}, nil)
+	}
+	expect("all carry set-ups", 9000, RoomNone, 0)
+	m.Step(9001, Event{Kind: UseChanged, Conn: 5, Sessions: 1}, nil)
+	expect("only one with a session can be closed", 9001, RoomByClosing, 5)
+	m.cfg.KeepSessions = true
+	expect("and that is not to be", 9001, RoomNone, 0)
+}
+
+// Guards against memory that grows with the number of clients whose requests stay incomplete: beyond the limit the one that has
+// held input for longest is closed unless it carries a set-up, and the sum is right after every change.
+func TestInputLimit(t *testing.T) {
+	held := func(c ConnID, bytes int) Event { return Event{Kind: InputHeld, Conn: c, Bytes: bytes} }
+	m := New(Config{MaxConns: 9, ReadTimeoutMs: 2000, IdleTimeoutMs: 10000, MaxInputBytes: 100})
+	for id := range ConnID(4) {
+		m.Step(0, Event{Kind: Accepted, Conn: id + 1}, nil)
+	}
+	for i, s := range []struct {
+		event  Event
+		closed []ConnID
+		sum    int
+	}{
+		{held(1, 10), nil, 10}, {held(2, 60), nil, 70}, {held(1, 0), nil, 60}, {held(3, 20), nil, 80},
+		{held(1, 20), nil, 100},              // 1 has held some since after 3
+		{held(3, 30), []ConnID{2}, 50},       // not 3, which asks for more
+		{held(1, 70), nil, 100},              // the limit itself
+		{held(4, 101), []ConnID{3, 1, 4}, 0}, // not even alone
+	} {
+		var closed []ConnID
+		for _, action := range m.Step(1, s.event, nil) {
+			if closed = append(closed, action.Conn); action.Reason != InputLimit {
+				t.Errorf("step %d: reason %s", i, action.Reason)
+			}
+		}
+		if !slices.Equal(closed, s.closed) || m.InputBytes() != s.sum {
+			t.Errorf("step %d: closed %v, %d bytes; want %v, %d", i, closed, m.InputBytes(), s.closed, s.sum)
+		}
+	}
+	if m.Len() != 0 {
+		t.Errorf("%d connections are left", m.Len())
+	}
+	for id := ConnID(5); id < 7; id++ {
+		m.Step(2, Event{Kind: Accepted, Conn: id}, nil)
+		m.Step(2, held(id, 50), nil)
+	}
+	m.Step(2, Event{Kind: UseChanged, Conn: 5, PendingSetups: 1}, nil)
+	if out := m.Step(3, held(5, 60), nil); len(out) != 1 || out[0].Conn != 6 {
+		t.Errorf("closed %v, want the one without a set-up", out)
+	}
+	if out := m.Step(3, held(5, 101), nil); len(out) != 0 {
+		t.Errorf("closed %v, which carries a set-up", out)
+	}
+}
--- a/internal/platform/proxy/proxy.go
+++ b/internal/platform/proxy/proxy.go
@@ -182,7 +182,7 @@
 	// File descriptors: at most a half for connections of viewers, a third for those to media nodes (dial) and a
 	// sixteenth for connections that linger after their close. The rest is for the listener, DNS and the process.
 	p.connManager = connmgr.New(connmgr.Config{MaxConns: cfg.Sockets / 2, ReadTimeoutMs: readTimeoutMs,
-		IdleTimeoutMs: idleTimeoutMs})
+		IdleTimeoutMs: idleTimeoutMs, RequestGraceMs: requestGraceMs})
 	maxReleases := 1 << 16 // if the configuration states no memory limit
 	if quota := int64(cfg.MemoryMB * (1 << 20) / quotaMemoryDivisor); quota > 0 {
 		p.quotas.SetLimit(limits.PendingSetups, quota)
@@ -214,6 +214,7 @@
 	if p.listener, err = p.loop.Listen(p.cfg.Listen, p.acceptViewer); err != nil {
 		return err
 	}
+	p.listener.SetGate(p.makeRoomForViewer)
 	if err := p.discovery.connect(p.cfg.DNS); err != nil {
 		return err
 	}
--- a/internal/platform/proxy/viewer.go
+++ b/internal/platform/proxy/viewer.go
@@ -20,6 +20,9 @@
 	// idleTimeoutMs is the time after which a connection without set-ups and sessions is closed as idle. Viewers close
 	// such a connection after 4 s themselves (PROTOCOL).
 	idleTimeoutMs = 10000.0
+	// requestGraceMs is the time that a connection has for its first request before it makes room for another one. Clients
+	// send it at once.
+	requestGraceMs = 100.0
 	// maxViewerOutput limits the output pending on a connection of a viewer that does not read, bytes.
 	maxViewerOutput = 64 << 10
 )
@@ -52,6 +55,24 @@
 	return v
 }
 
+// makeRoomForViewer closes a connection at the limit, and reports whether one more may be accepted. What has arrived is read
+// before, so that a connection with a request keeps its place.
+func (p *Proxy) makeRoomForViewer() bool {
+	const maxCandidates = 4 // more requests in a row are left to the next iteration
+	for range maxCandidates {
+		room, id := p.connManager.MakeRoom(p.loop.Now())
+		if room != connmgr.RoomByClosing {
+			return room == connmgr.RoomFree
+		}
+		v := p.viewers[id]
+		v.conn.ReadAvailable()
+		if again, worst := p.connManager.MakeRoom(p.loop.Now()); again == connmgr.RoomByClosing && worst == id {
+			p.stepConnManager(connmgr.Event{Kind: connmgr.CloseForLimit, Conn: id})
+		}
+	}
+	return false
+}
+
 // stepConnManager passes an event to the connection manager and closes the connections that it returns. One that is
 // closed to stay within the limit is closed at once, without lingering, so that its descriptor is free immediately.
 func (p *Proxy) stepConnManager(ev connmgr.Event) {
@@ -61,7 +82,7 @@
 		delete(p.viewers, action.Conn)
 		p.log.Debug("closing viewer connection", "conn", action.Conn, "reason", action.Reason.String())
 		switch {
-		case action.Conn == ev.Conn: // just accepted: the loop closes it
+		case action.Conn == ev.Conn && ev.Kind == connmgr.Accepted: // the loop closes it
 		case action.Reason == connmgr.LimitReached:
 			v.refuseUnread()
 			v.conn.Close(loop.ErrClosedByOwner)
--- a/test/faults/director_test.go
+++ b/test/faults/director_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"net"
 	"os"
@@ -19,6 +20,7 @@
 	deadlines      [2]time.Duration // of the classes paid and free
 	connect        time.Duration    // connect timeout to media nodes
 	sockets        int
+	memoryMB       int           // 0: usualMemoryMB
 	reportInterval time.Duration // between load notes of a media node; 0: it sends none
 	seats          int           // of each title of the class paid at one director; 0: no limit
 	reportDelay    time.Duration // by which load notes are late
@@ -35,6 +37,11 @@
 	return min(max(s.deadlines[0], s.deadlines[1]), 3*time.Second) + 700*time.Millisecond
 }
 
+// usualMemoryMB is the memory limit of most runs.
+const usualMemoryMB = 128
+
+func (s settings) memoryLimitMB() int { return cmp.Or(s.memoryMB, usualMemoryMB) }
+
 var classes = [2]string{"paid", "free"}
 
 // lifetime is one process of a director. Times are 0 while they have not come.
@@ -80,7 +87,7 @@
 	}
 	cells := len(d.world.allNodes())
 	text := fmt.Sprintf(`{"name":"n%d","listen":"%s","seed":"8c1f30d27a5be96%d","dns":"%s",
-		"limits":{"cores":1,"memory_mb":128,"sockets":%d},"known":%s,
+		"limits":{"cores":1,"memory_mb":%d,"sockets":%d},"known":%s,
 		"settings":{"me":%d,"replicas_of_me":%d,"zone":0,"dcs":["east","west"],"skus":["std"],"discovery":"automatic",
 		"allowed":{"max_attempts":3,"retry_after":true,"max_retry_after_ms":700,"connect_timeout_ms":%d,"keepalive_ms":%d},
 		"categories":[{"name":"paid","give_up_ms":%d,"slo_ms":1000,"semantics":"once","value":3},
@@ -90,7 +97,7 @@
 			"all_links_kb":%d,"uplink_kb":10000000,"link_unit_kb":100000,"scale_by_class":[1,1],"floor_by_class":[0,0],
 			"top_by_class":[1,1],"class_seats":[%d,0],"switch_s":0.5,%s"x":0},
 		"safety":{"warm_within_ms":1000,"cold_from":0.4,"answer_slack_ms":40,"drain_grace_ms":250}}}`,
-		d.index, d.addr, d.index, d.discovery.addr(), s.sockets, known, d.index, len(d.world.directors),
+		d.index, d.addr, d.index, d.discovery.addr(), s.memoryLimitMB(), s.sockets, known, d.index, len(d.world.directors),
 		s.connect.Milliseconds(), s.keepAlive.Milliseconds(), s.deadlines[0].Milliseconds(), s.deadlines[1].Milliseconds(), cells, cells*100000, s.seats, notes)
 	if err := os.WriteFile(d.configPath, []byte(text), 0o644); err != nil {
 		d.world.t.Error(err)
--- a/test/faults/world_test.go
+++ b/test/faults/world_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"os"
 	"slices"
 	"sync"
@@ -93,9 +94,26 @@
 	firstNode    = 100  // last byte of the address of the first media node
 
 	firstDiscovery = 200 // last byte of the address of the discovery service
+
+	reservation     = 253 // last byte of the address that shows that the network is taken
+	reservationPort = 5079
 )
 
-func newNetwork() network { return network{64 + os.Getpid()%128, int(runCount.Add(1)) % 256} }
+// newNetwork takes addresses that no other run has, in this process or in another one on the machine. They are held by a
+// listener for as long as the run goes on.
+func newNetwork(t *testing.T) network {
+	t.Helper()
+	const tries = 1000
+	for range tries {
+		n := network{64 + os.Getpid()%128, int(runCount.Add(1)) % 256}
+		if held, err := net.Listen("tcp4", n.addr(reservation, reservationPort)); err == nil {
+			t.Cleanup(func() { held.Close() })
+			return n
+		}
+	}
+	t.Fatal("no network is free")
+	return network{}
+}
 
 // addr is an address of the run.
 func (n network) addr(index, port int) string {
@@ -136,7 +154,7 @@
 
 // newWorld makes a run with media nodes and director processes that are not started yet.
 func newWorld(t *testing.T, seed uint64, directors, nodes int, s settings) *world {
-	w := &world{t: t, start: time.Now(), network: newNetwork(), settings: s, seeds: rand.New(rand.NewPCG(seed, 35)), sessionMs: 5000,
+	w := &world{t: t, start: time.Now(), network: newNetwork(t), settings: s, seeds: rand.New(rand.NewPCG(seed, 35)), sessionMs: 5000,
 		requests: map[uint64]*request{}, sessions: map[uint64]*session{}, sdps: map[string]uint64{},
 		timers: map[*time.Timer]bool{}}
 	for i := range directors {
@@ -148,9 +166,23 @@
 	}
 	w.list.init(w)
 	t.Cleanup(w.close)
+	go w.watchLateness()
 	return w
 }
 
+// watchLateness notes when the test's own process stood still, as it does when the machine does: what was measured then is late.
+func (w *world) watchLateness() {
+	const tick = 10 * time.Millisecond
+	for last := w.now(); !w.hasStopped(); {
+		time.Sleep(tick)
+		now := w.now()
+		if now-last > tick+limitSlack {
+			w.note("this test stood still from %.3f on", last.Seconds())
+		}
+		last = now
+	}
+}
+
 // allNodes returns the present media nodes.
 func (w *world) allNodes() []*mediaNode {
 	w.nodesMu.Lock()
