--- a/internal/platform/proxy/viewer.go
+++ b/internal/platform/proxy/viewer.go
@@ -25,6 +25,8 @@
 	requestGraceMs = 100.0
 	// maxViewerOutput limits the output pending on a connection of a viewer that does not read, bytes.
 	maxViewerOutput = 64 << 10
+	// viewerReadBudget is the input, in bytes, that is read from one connection of a viewer in an iteration of the loop.
+	viewerReadBudget = 1024
 )
 
 // viewer is one connection of a viewer. It carries any number of set-ups and sessions.
@@ -47,6 +49,7 @@
 	v := &viewer{proxy: p, conn: conn, id: p.lastConnID, pending: map[*session]struct{}{},
 		playing: map[*session]struct{}{}}
 	conn.SetOutputLimit(maxViewerOutput)
+	conn.SetReadBudget(viewerReadBudget)
 	p.viewers[v.id] = v
 	p.stepConnManager(connmgr.Event{Kind: connmgr.Accepted, Conn: v.id})
 	if p.viewers[v.id] == nil {
--- a/test/faults/clientload_test.go
+++ b/test/faults/clientload_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -147,3 +149,69 @@
 		}
 	}
 }
+
+// floodLength is the time for which a flood goes on.
+const floodLength = 1500 * time.Millisecond
+
+// floodingClients is the number of clients that do so.
+const floodingClients = 4
+
+// flood writes at full speed on one connection for a time, and reads what comes.
+func (d *director) flood(length time.Duration, payload []byte, reads bool) (written int64) {
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		conn, err := net.DialTimeout("tcp4", d.addr, time.Second)
+		if err != nil {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		if reads {
+			go io.Copy(io.Discard, conn)
+		}
+		for time.Now().Before(end) {
+			conn.SetWriteDeadline(time.Now().Add(500 * time.Millisecond))
+			n, err := conn.Write(payload)
+			written += int64(n)
+			if err != nil {
+				break
+			}
+		}
+		conn.Close()
+	}
+	return written
+}
+
+// Guards against viewers that wait since all that another one has sent at full speed is handled first.
+func TestFloodOfOneViewer(t *testing.T) {
+	for name, c := range map[string]struct {
+		line  string
+		reads bool
+	}{
+		"pings":          {`{"type":"ping","id":"0000000000000000","fields":{},"cause":0}`, true},
+		"pings, no read": {`{"type":"ping","id":"0000000000000000","fields":{},"cause":0}`, false},
+		"empty lines":    {"", true},
+		"notes":          {`{"type":"note","id":"0000000000000000","fields":{}}`, true},
+		"releases":       {`{"type":"release","id":"0000000000000001","fields":{},"cause":16}`, true},
+		"unsound":        {`{"type":"setup","id":"0000000000000001","fields":{"class":"gold","left":"3000","key":"00000000000000aa"},"sdp":"x"}`, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 13, 1, 4, usualSettings)
+			w.sessionMs = 1000
+			d := w.directors[0]
+			d.start()
+			w.startViewers(4, viewerHabits{interval: 50 * time.Millisecond})
+			payload := bytes.Repeat([]byte(c.line+"\n"), 64<<10/(len(c.line)+1))
+			var flooding sync.WaitGroup
+			var written atomic.Int64
+			for range floodingClients {
+				flooding.Add(1)
+				go func() { defer flooding.Done(); written.Add(d.flood(floodLength, payload, c.reads)) }()
+			}
+			flooding.Wait()
+			w.quiet.Store(true)
+			time.Sleep(time.Second)
+			w.checkViewers(d)
+			t.Logf("%d MB written", written.Load()>>20)
+			w.report(name)
+		})
+	}
+}
