Platform: no set-up is begun for a viewer that has left, and none of its paid ones twice

Causes: only an end of stream that was read counted as a close; a set-up that its viewer gave up was forgotten at once.

The viewer's close gives its set-ups up as soon as the kernel has it, also those that are still unread. The id of a paid set-up that may have run is kept for 20 s and answered as failed.

--- a/decide/release/release_test.go
+++ b/decide/release/release_test.go
@@ -107,3 +107,29 @@
 		t.Errorf("cause %d, %v: want the end of the attempt", cause, ok)
 	}
 }
+
+// Guards against a paid set-up that runs twice under one ID: it is remembered for a time, in a bounded number.
+func TestGivenUpSetups(t *testing.T) {
+	g := GivenUpSetups{RetentionMs: 100, MaxSetups: 2}
+	if g.MayHaveRun(0, 1) {
+		t.Error("a set-up that never was")
+	}
+	g.Add(0, 1)
+	g.Add(10, 2)
+	g.Add(20, 1) // again: its time stays
+	for _, c := range []struct {
+		at      float64 // ms
+		session SessionID
+		want    bool
+	}{{99, 1, true}, {99, 2, true}, {100, 1, false}, {100, 2, true}, {110, 2, false}} {
+		if got := g.MayHaveRun(c.at, c.session); got != c.want {
+			t.Errorf("set-up %d at %v ms: %v", c.session, c.at, got)
+		}
+	}
+	for session := SessionID(5); session < 8; session++ {
+		g.Add(200, session)
+	}
+	if g.MayHaveRun(200, 5) || !g.MayHaveRun(200, 6) || !g.MayHaveRun(200, 7) {
+		t.Error("the limit forgets another than the oldest")
+	}
+}
--- a/internal/platform/proxy/attempt.go
+++ b/internal/platform/proxy/attempt.go
@@ -113,7 +113,7 @@
 	s.sentRung = s.rung
 	a.startOffset = conn.Written() + int64(conn.Pending())
 	a.conn.write(out)
-	a.written = true
+	a.written, s.attempted = true, true
 	a.step(attempt.Event{Kind: attempt.BytesWritten, Bytes: conn.Written() - a.startOffset})
 }
 
--- a/internal/platform/proxy/proxy.go
+++ b/internal/platform/proxy/proxy.go
@@ -88,6 +88,9 @@
 	releaseRetransmitMs = 333.0
 	// maxEarlyEnds limits the remembered ends of sessions that viewers have not named.
 	maxEarlyEnds = 512
+	// givenUpRetentionMs and maxGivenUpSetups limit the paid set-ups that are remembered after their viewers gave them up.
+	givenUpRetentionMs = 20000.0
+	maxGivenUpSetups   = 4096
 	// maxUsualLagMs is the longest iteration of the event loop that is not logged.
 	maxUsualLagMs = 100.0
 )
@@ -148,6 +151,7 @@
 	quotas             limits.Quotas
 	retransmitter      *release.Retransmitter
 	earlyEnds          release.EarlyEnds
+	givenUpSetups      release.GivenUpSetups
 	nodeConnCount      int // open connections to all media nodes
 	connLimits         nodepool.Limits
 	poolBuf            []nodepool.Conn // see mediaNode.pool
@@ -192,6 +196,7 @@
 	p.retransmitter = release.New(release.Config{RetentionMs: releaseRetentionMs, RetransmitMs: releaseRetransmitMs,
 		MaxPending: maxReleases}, p)
 	p.earlyEnds = release.EarlyEnds{RetentionMs: releaseRetentionMs, MaxEnds: maxEarlyEnds}
+	p.givenUpSetups = release.GivenUpSetups{RetentionMs: givenUpRetentionMs, MaxSetups: maxGivenUpSetups}
 	p.freshness = discovery.Freshness{MaxAgeMs: propagationMs, MaxHoldMs: maxStallHoldMs}
 	p.discovery.proxy = p
 	if err := eventLoop.SetLocalAddr(cfg.Listen); err != nil {
--- a/internal/platform/proxy/session.go
+++ b/internal/platform/proxy/session.go
@@ -52,6 +52,7 @@
 	answerEnd      int64     // value of the viewer connection's Written once the whole answer has left
 	node           *mediaNode
 	attempt        *setupAttempt
+	attempted      bool        // a set-up was written to a media node
 	endTimer       *loop.Timer // runs in stateEnding
 }
 
@@ -133,6 +134,11 @@
 	case r.playingAt == "" && (v.closing || !p.shutdown.Accepts(p.loop.Now())):
 		p.refuseSetup(v, id, r)
 		return
+	case r.playingAt == "" && p.givenUpSetups.MayHaveRun(p.loop.Now(), release.SessionID(id)):
+		p.stats.Failed++
+		p.log.Debug("set-up comes again, and may have run", "id", logID(id), "class", r.className)
+		v.sendRelease(id, causeError, 0)
+		return
 	case !p.quotas.Fits(limits.Sessions, 1), r.playingAt == "" && !p.quotas.Acquire(limits.PendingSetups, sdpBytes):
 		p.refuseSetup(v, id, r)
 		return
@@ -233,10 +239,7 @@
 	if s.state != statePending || v == nil || !v.conn.PeerClosed() {
 		return s.state == stateEnded
 	}
-	v.conn.Close(nil)
-	for pending := range v.pending {
-		p.endedByViewer(pending)
-	}
+	v.PeerClosing(v.conn)
 	return true
 }
 
@@ -247,6 +250,9 @@
 		p.stats.Left++
 		p.queueEvent(headmill.Event{Kind: headmill.EvViewerLeft, Session: s.moduleID})
 		a := s.attempt
+		if s.attempted && p.cfg.Module.Classes[s.class].Semantics == headmill.AtMostOnce {
+			p.givenUpSetups.Add(p.loop.Now(), release.SessionID(s.id))
+		}
 		p.removeSession(s)
 		if a != nil {
 			a.step(attempt.Event{Kind: attempt.Cancelled})
--- a/internal/platform/proxy/viewer.go
+++ b/internal/platform/proxy/viewer.go
@@ -41,6 +41,7 @@
 	drainedAt   float64               // loop time, ms, at which it last had no unread input, if that was soon after a stall
 	placing     bool                  // placeRequests is posted to the loop
 	closing     bool                  // the connection is about to be closed: set-ups are refused
+	left        bool                  // the viewer has closed its side: its set-ups are given up
 }
 
 // acceptViewer takes a new connection unless the connection manager closes it at once.
@@ -123,6 +124,15 @@
 // Flushed implements loop.Handler. It does nothing, since writes are never paused.
 func (v *viewer) Flushed(*loop.Conn) {}
 
+// PeerClosing implements loop.PeerCloseHandler. The viewer waits for no answer any more: its set-ups are given up, also those
+// that are still unread. What else it has sent before is carried out.
+func (v *viewer) PeerClosing(*loop.Conn) {
+	v.left = true
+	for s := range v.pending {
+		v.proxy.endedByViewer(s)
+	}
+}
+
 // Closed implements loop.Handler. It gives up the pending set-ups. Sessions that play are bound to no connection and
 // play on, except those whose answer was not written completely.
 func (v *viewer) Closed(_ *loop.Conn, err error) {
@@ -254,6 +264,9 @@
 		return
 	}
 	p.startSession(v, id, &request)
+	if s := p.sessions[id]; v.left && s != nil && s.state == statePending {
+		p.endedByViewer(s)
+	}
 }
 
 // extraValue returns a value from a set-up's extras field.
--- a/test/faults/badclient_test.go
+++ b/test/faults/badclient_test.go
@@ -96,8 +96,8 @@
 	for range 100 {
 		r := v.newRequest(0, k.settings.deadlines[0])
 		k.record(func() { r.sentAt, r.leftAt = k.now(), k.now() })
-		fmt.Fprintf(&out, `{"type":"setup","id":"%016x","fields":{"class":"paid","left":"700","tenant":"acme","key":"00000000000000bb","extras":"home:0;copies:2;top:1"},"sdp":"x"}`+"\n"+
-			`{"type":"release","id":"%016x","fields":{},"cause":16}`+"\n", r.id, r.id)
+		out.WriteString(k.setupLine(r))
+		fmt.Fprintf(&out, `{"type":"release","id":"%016x","fields":{},"cause":16}`+"\n", r.id)
 	}
 	v.writing.Lock()
 	v.conn.Write(out.Bytes())
--- a/test/faults/viewer_test.go
+++ b/test/faults/viewer_test.go
@@ -245,8 +245,7 @@
 // sendRequest writes a set-up, whole or in pieces.
 func (v *viewerConn) sendRequest(r *request, inPieces bool) {
 	w := v.world
-	text := fmt.Sprintf(`{"type":"setup","id":"%016x","fields":{"class":"%s","left":"%d","tenant":"acme","key":"%016x","extras":"home:%d;copies:%d;top:1"},"sdp":"v=0\r\no=%016x"}`+"\n",
-		r.id, classes[r.class], r.wait.Milliseconds(), r.title, r.homeCell(w.cells), min(copies, w.cells), r.id)
+	text := w.setupLine(r)
 	v.mu.Lock()
 	if v.ended {
 		v.mu.Unlock()
@@ -279,7 +278,7 @@
 	if byClosing {
 		v.mu.Lock()
 		open := v.open
-		v.open = map[uint64]*request{}
+		v.open, v.ended = nil, true // nothing more is sent on it
 		v.mu.Unlock()
 		w.record(func() {
 			for _, other := range open {
