Event loop: an event of a closed connection is not taken for one of its successor

Cause: the loop takes up to 256 events at once and found the connection of each by its descriptor alone. One that made room was closed while its own end of stream stood further on in the batch; the next to be accepted got its descriptor and that event, and counted as closed by its peer for good. A connection that is dialled could count as established.

Each registration of a descriptor has a number that the kernel returns with its events; events with another are dropped.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -54,27 +54,29 @@
 
 // Loop is one epoll instance with its timers and sockets.
 type Loop struct {
-	epollFD, wakeFD int
-	start           time.Time
-	now             float64 // ms since start, updated once per iteration
-	timers          timerHeap
-	timerSeq        uint64
-	conns           map[int]*Conn
-	listeners       map[int]*Listener
-	packetConns     map[int]*PacketConn
-	readBuf         []byte
-	events          []unix.EpollEvent
-	lingering       map[int]*lingeringConn
-	maxLingering    int
-	brokenConns     []*Conn      // a write failed in this iteration; they are read and closed after its events
-	closedConns     []*Conn      // closed in this iteration; Closed is called after the iteration's events
-	maxLag          float64      // ms; longest iteration since MaxLag was last called: a ready event waits up to that long
-	onIteration     func()       // called at the end of each iteration
-	onStall         func()       // called at the start of an iteration that comes late
-	stallFrom       float64      // ms; start of the iteration before the last one that came late
-	stallTo         float64      // ms; start of the last one that came late
-	stallMs         float64      // time between the starts of two iterations from which the later one comes late
-	localNetwork    netip.Prefix // permitted addresses besides the loopback interface's
+	epollFD, wakeFD  int
+	start            time.Time
+	now              float64 // ms since start, updated once per iteration
+	timers           timerHeap
+	timerSeq         uint64
+	conns            map[int]*Conn
+	listeners        map[int]*Listener
+	packetConns      map[int]*PacketConn
+	registrations    []int32 // number of the last registration of each descriptor; see epollCtl
+	lastRegistration int32
+	readBuf          []byte
+	events           []unix.EpollEvent
+	lingering        map[int]*lingeringConn
+	maxLingering     int
+	brokenConns      []*Conn      // a write failed in this iteration; they are read and closed after its events
+	closedConns      []*Conn      // closed in this iteration; Closed is called after the iteration's events
+	maxLag           float64      // ms; longest iteration since MaxLag was last called: a ready event waits up to that long
+	onIteration      func()       // called at the end of each iteration
+	onStall          func()       // called at the start of an iteration that comes late
+	stallFrom        float64      // ms; start of the iteration before the last one that came late
+	stallTo          float64      // ms; start of the last one that came late
+	stallMs          float64      // time between the starts of two iterations from which the later one comes late
+	localNetwork     netip.Prefix // permitted addresses besides the loopback interface's
 
 	stopping bool // Run returns once no connection lingers
 
@@ -105,13 +107,6 @@
 	return l, nil
 }
 
-func (l *Loop) epollCtl(op, fd int, events uint32) error {
-	if err := unix.EpollCtl(l.epollFD, op, fd, &unix.EpollEvent{Events: events, Fd: int32(fd)}); err != nil {
-		return fmt.Errorf("loop: epoll_ctl of %d: %w", fd, err)
-	}
-	return nil
-}
-
 // MaxDescriptors returns the number of file descriptors that this process may hold.
 func MaxDescriptors() int {
 	const fallback, most = 1024, 1 << 20
@@ -230,7 +225,9 @@
 		}
 		previousStart = iterationStart
 		for i := range max(n, 0) {
-			l.dispatch(int(l.events[i].Fd), l.events[i].Events)
+			if event := &l.events[i]; event.Pad == l.registrations[event.Fd] {
+				l.dispatch(int(event.Fd), event.Events)
+			}
 		}
 		for len(l.timers) > 0 && l.timers[0].dueMs <= l.now {
 			heap.Pop(&l.timers).(*Timer).callback()
