Platform: placing waits for four answers of the name service after a stall

Cause: the discovery service may answer with an older list several times in a row; one answer ended the wait.

Four answers do now, asked for one after the other, still 200 ms at most; a repeated answer counts once.

--- a/decide/discovery/freshness_test.go
+++ b/decide/discovery/freshness_test.go
@@ -5,7 +5,7 @@
 // Guards against set-ups that are placed by an old list after the process stood still (stall of the review).
 func TestPlacingWaitsAfterAStall(t *testing.T) {
 	newFreshness := func() *Freshness {
-		f := &Freshness{MaxAgeMs: 1500, MaxHoldMs: 200}
+		f := &Freshness{MaxAgeMs: 1500, MaxHoldMs: 200, Confirmations: 1}
 		f.Answered(1000)
 		return f
 	}
@@ -30,3 +30,25 @@
 		t.Error("a further stall does not count")
 	}
 }
+
+// Guards against set-ups that are placed by an older list right after the process stood still: the discovery service sends it
+// a few times in a row, and again for queries that were answered before.
+func TestPlacingWaitsForSeveralAnswers(t *testing.T) {
+	f := &Freshness{MaxAgeMs: 1500, MaxHoldMs: 200, Confirmations: 4}
+	f.Answered(1000)
+	f.Stalled(3000)
+	for _, queriedAt := range []float64{3000, 3001, 3002} {
+		if !f.Answered(queriedAt) || f.MayPlace(queriedAt) {
+			t.Errorf("the answer to the query of %v ends the wait", queriedAt)
+		}
+		if f.Answered(queriedAt) || f.MayPlace(queriedAt) {
+			t.Errorf("the repeated answer to the query of %v counts", queriedAt)
+		}
+	}
+	if f.Answered(3003) || !f.MayPlace(3003) {
+		t.Error("the fourth answer does not end the wait")
+	}
+	if f.Answered(3100) {
+		t.Error("a further answer is asked for while placing does not wait")
+	}
+}
--- a/internal/platform/proxy/discovery.go
+++ b/internal/platform/proxy/discovery.go
@@ -21,6 +21,9 @@
 	// maxStallHoldMs is the longest time for which placing waits for a new list after the process stood still: most of the
 	// time that a set-up may take on top of its deadline is left.
 	maxStallHoldMs = 200.0
+	// stallConfirmations is the number of answers that show the node list to be recent after the process stood still: as many
+	// as it takes elsewhere to believe what older lists contradict.
+	stallConfirmations = 4
 	// stallMs is the time without an iteration of the event loop from which the process counts as having stood still:
 	// several sweeps.
 	stallMs = 400.0
@@ -89,10 +92,11 @@
 	if err == nil {
 		err = d.proxy.applyNodeList(&list)
 	}
-	if err == nil {
-		d.proxy.freshness.Answered(queriedAt)
-	}
 	if err != nil {
 		d.proxy.log.Debug("unusable answer of the discovery service", "error", err.Error())
+		return
+	}
+	if d.proxy.freshness.Answered(queriedAt) {
+		d.queryNow()
 	}
 }
--- a/internal/platform/proxy/proxy.go
+++ b/internal/platform/proxy/proxy.go
@@ -197,7 +197,8 @@
 		MaxPending: maxReleases}, p)
 	p.earlyEnds = release.EarlyEnds{RetentionMs: releaseRetentionMs, MaxEnds: maxEarlyEnds}
 	p.givenUpSetups = release.GivenUpSetups{RetentionMs: givenUpRetentionMs, MaxSetups: maxGivenUpSetups}
-	p.freshness = discovery.Freshness{MaxAgeMs: propagationMs, MaxHoldMs: maxStallHoldMs}
+	p.freshness = discovery.Freshness{MaxAgeMs: propagationMs, MaxHoldMs: maxStallHoldMs,
+		Confirmations: stallConfirmations}
 	p.discovery.proxy = p
 	if err := eventLoop.SetLocalAddr(cfg.Listen); err != nil {
 		return nil, err
--- a/test/faults/review_test.go
+++ b/test/faults/review_test.go
@@ -142,7 +142,20 @@
 // begins to drain as that starts, so that the director counts as told before it goes on.
 func TestDrainDuringAStallOfTheDirector(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, 10, 1, 8, usualSettings)
+	drainDuringStalls(t, 10, 0, "director stands still")
+}
+
+// Guards against set-ups that are placed by an older list right after the director stood still (seed 8 of the soak): the
+// discovery service answers with it three times in a row, and the drain began as the director stopped.
+func TestOlderListsAfterAStallOfTheDirector(t *testing.T) {
+	t.Parallel()
+	drainDuringStalls(t, 11, 3, "older lists after a stall")
+}
+
+// drainDuringStalls lets a director stand still six times. As each begins, a media node starts to drain, and the first answers
+// of the discovery service after it have an older list.
+func drainDuringStalls(t *testing.T, seed uint64, olderAnswers int, what string) {
+	w := newWorld(t, seed, 1, 8, usualSettings)
 	w.sessionMs = 3000
 	d := w.directors[0]
 	d.start()
@@ -150,10 +163,13 @@
 	for range 6 {
 		time.Sleep(1500 * time.Millisecond)
 		n := w.busiestNode()
-		w.after(20*time.Millisecond, func() { w.list.set(n, true, false) })
+		w.after(20*time.Millisecond, func() {
+			w.list.set(n, true, false)
+			d.discovery.sendOlder(olderAnswers)
+		})
 		d.stall(2 * time.Second)
 	}
 	w.quiet.Store(true)
 	time.Sleep(usualSettings.deadlines[0])
-	w.report("director stands still")
+	w.report(what)
 }
