Platform: set-ups whose time ran out in a stall are failed at once

Cause: after a stall the answer of a set-up whose time was over waited 0.2 s for a node list that it did not need.

Such set-ups are failed once the input of the iteration is read.

--- a/internal/platform/proxy/hold.go
+++ b/internal/platform/proxy/hold.go
@@ -16,6 +16,7 @@
 	p.log.Info("the process stood still; placing waits for a node list", "events", len(p.events))
 	p.holding = true
 	p.discovery.queryNow()
+	p.loop.After(p.loop.Elapsed(), p.failOverdue)            // once what has arrived meanwhile is read
 	p.loop.After(maxStallHoldMs+p.loop.Elapsed(), func() {}) // the iteration that ends the wait
 }
 
@@ -35,6 +36,18 @@
 	return true
 }
 
+// failOverdue fails the set-ups whose time is over, as they are not placed again whatever the node list says.
+func (p *Proxy) failOverdue() {
+	if !p.holding {
+		return
+	}
+	for _, s := range p.sessions {
+		if s.state == statePending && s.deadline <= p.loop.Now() {
+			p.failSetup(s, "set-up failed: its time ran out while the process stood still")
+		}
+	}
+}
+
 // queueNodeList queues a node list for the module, ahead of what was read in the same iteration or waits for the list: a set-up
 // may have been read before a list that arrived with it.
 func (p *Proxy) queueNodeList(ev headmill.Event) {
--- a/internal/platform/proxy/session.go
+++ b/internal/platform/proxy/session.go
@@ -65,6 +65,20 @@
 	p.removeSession(s)
 }
 
+// failSetup answers a set-up that can't be waited for any longer, and logs it with a message. The cause is an error and no
+// refusal, since its attempt may have run.
+func (p *Proxy) failSetup(s *session, message string) {
+	p.stats.Failed++
+	a := s.attempt
+	p.log.Info(message, "id", logID(s.id), "class", s.className,
+		"host", s.nodeName(), "ms_left", s.deadline-p.loop.Now())
+	p.queueEvent(headmill.Event{Kind: headmill.EvViewerLeft, Session: s.moduleID})
+	p.rejectSetup(s, causeError, 0)
+	if a != nil {
+		a.step(attempt.Event{Kind: attempt.Cancelled})
+	}
+}
+
 // nodeName is the name of the media node of the session's last attempt, empty before the first one.
 func (s *session) nodeName() string {
 	if s.node == nil {
--- a/internal/platform/proxy/stop.go
+++ b/internal/platform/proxy/stop.go
@@ -4,8 +4,6 @@
 	"math"
 	"slices"
 
-	"headmill"
-	"headmill/decide/attempt"
 	"headmill/decide/shutdown"
 )
 
@@ -76,7 +74,7 @@
 	case shutdown.FailPending:
 		for _, s := range p.sessions {
 			if s.state == statePending {
-				p.failSetup(s)
+				p.failSetup(s, "set-up failed by the stop")
 			}
 		}
 	case shutdown.EndSessions: // not with shutdown.Config.KeepSessions
@@ -98,20 +96,6 @@
 	}
 }
 
-// failSetup answers a set-up that a stop can't wait for any longer. The cause is an error and no refusal, since its
-// attempt may have run.
-func (p *Proxy) failSetup(s *session) {
-	p.stats.Failed++
-	a := s.attempt
-	p.log.Info("set-up failed by the stop", "id", logID(s.id), "class", s.className,
-		"host", s.nodeName(), "ms_left", s.deadline-p.loop.Now())
-	p.queueEvent(headmill.Event{Kind: headmill.EvViewerLeft, Session: s.moduleID})
-	p.rejectSetup(s, causeError, 0)
-	if a != nil {
-		a.step(attempt.Event{Kind: attempt.Cancelled})
-	}
-}
-
 // unsentMessages counts what a stop waits for once all set-ups are answered: connections whose peers have not read what
 // was written, and releases that no viewer has confirmed.
 func (p *Proxy) unsentMessages() int {
