Fronts: connections of viewers, and their unfinished requests, are bounded in all

Causes: limits.connections knew nothing of the descriptors, only single connections had limits of input, gRPC and metrics had none, and one iteration read 256 kB of a connection.

The fronts use decide/connmgr as the platform does, with 5/8 of the descriptors and 1,024 bytes of a connection in one iteration; connections with sessions are never closed for others. New setting limits.input_in_all, 32 MB: beyond it the connection that has held input for longest is closed. The operators' API and /metrics hold a sixteenth of the descriptors, 64 at most.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -142,6 +142,7 @@
 	Sessions          int `toml:"sessions"`       // sessions of this director
 	CommandsPerNode   int `toml:"commands_a_box"` // rung changes and session ends queued for one media node
 	TotalOutput       int `toml:"output_in_all"`  // bytes buffered for all viewers together
+	TotalInput        int `toml:"input_in_all"`   // bytes buffered of all incomplete requests and messages together
 	Reports           int `toml:"reports"`        // bytes of stored player reports
 	Timelines         int `toml:"timelines"`      // bytes of the session timelines that quality is computed from
 	Message           int `toml:"message"`        // bytes of a WebSocket message
@@ -246,7 +247,7 @@
 		Tokens:    Tokens{SkewMs: 250, Cache: 8192, Queue: 1024},
 		Limits: Limits{Connections: 20000, Line: 4608, Head: 16384, Fields: 64, Body: 65536,
 			Output: 262144, LedgerEntries: 200000, Waiters: 8, Nodes: 1024, IdleConnsPerNode: 64, EventBytes: 1 << 20,
-			ConnsPerNode: 512, Sessions: 100000, CommandsPerNode: 4096, TotalOutput: 256 << 20, Reports: 16 << 20,
+			ConnsPerNode: 512, Sessions: 100000, CommandsPerNode: 4096, TotalOutput: 256 << 20, TotalInput: 32 << 20, Reports: 16 << 20,
 			Timelines: 64 << 20, Message: 16384, PendingPerSocket: 16, SessionsPerSocket: 64, SocketSessions: 100000},
 		Quality: Quality{WindowMs: 5000, AllowedLatenessMs: 25000, MaxClockSkewMs: 3600e3, SessionRetentionMs: 120000,
 			DetectIntervalMs: 500, ConfirmMs: 1500, MaxGroups: 4096, SwitchCost: 1, StallCost: 3, StartupCost: 0.2, ShortfallBelow: 0.9,
@@ -507,6 +508,7 @@
 		{"times.tie_ms", s.Times.DetachedTTLMs, 0},
 		{"times.report_ms", s.Times.ReportMs, 1}, {"times.notice_ms", s.Times.NoticeMs, 0},
 		{"limits.output_in_all", float64(s.Limits.TotalOutput), 65536},
+		{"limits.input_in_all", float64(s.Limits.TotalInput), 65536},
 		{"limits.reports", float64(s.Limits.Reports), 0}, {"limits.timelines", float64(s.Limits.Timelines), 0},
 		{"limits.message", float64(s.Limits.Message), 1024}, {"limits.socket_opens", float64(s.Limits.PendingPerSocket), 1},
 		{"limits.socket_holds", float64(s.Limits.SessionsPerSocket), 1},
--- a/internal/director/admission.go
+++ b/internal/director/admission.go
@@ -59,9 +59,12 @@
 // applyLimits sets the quotas from the settings.
 func (d *Director) applyLimits() {
 	l := &d.cfg.Limits
+	maxConns := min(l.Connections, d.descriptors.Viewers)
+	d.connManager.SetMaxConns(maxConns)
+	d.connManager.SetMaxInput(l.TotalInput)
 	for resource, limit := range map[limits.Resource]int{
 		limits.Sessions:       l.Sessions,
-		limits.Connections:    l.Connections,
+		limits.Connections:    maxConns,
 		limits.Ledger:         l.LedgerEntries,
 		limits.Reports:        l.Reports,
 		limits.OutputBuffers:  l.TotalOutput,
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -53,6 +53,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"headmill"
+	"headmill/decide/connmgr"
 	"headmill/decide/discovery"
 	"headmill/decide/health"
 	"headmill/decide/idempotency"
@@ -133,6 +134,7 @@
 	capacity     limits.CapacityEstimator
 	quality      qualityState
 	quotas       limits.Quotas
+	descriptors  limits.Descriptors
 	tokenChecker *token.Checker
 	tokenPool    *token.Pool
 	titles       map[string]*title
@@ -152,11 +154,14 @@
 	// lostSessions are those that were given up and still hold what they use, as their media nodes may play them.
 	lostSessions map[idempotency.SessionID]*session
 	viewers      map[*viewerConn]struct{}
+	connManager  *connmgr.Manager
+	connOwners   map[connmgr.ConnID]connOwner
 	requests     map[idempotency.RequestID]*sessionRequest
 	webSockets   map[*webSocket]struct{}
 	nodes        map[headmill.NodeID]*mediaNode
 	discovery    discoveryClient
 
+	lastConnID          connmgr.ConnID
 	lastSessionID       idempotency.SessionID
 	lastRequestID       idempotency.RequestID
 	freeParsers         []*http1.Parser
@@ -200,6 +205,7 @@
 		sessions:     map[idempotency.SessionID]*session{},
 		lostSessions: map[idempotency.SessionID]*session{},
 		viewers:      map[*viewerConn]struct{}{},
+		connOwners:   map[connmgr.ConnID]connOwner{},
 		requests:     map[idempotency.RequestID]*sessionRequest{},
 		webSockets:   map[*webSocket]struct{}{},
 		nodes:        map[headmill.NodeID]*mediaNode{},
@@ -237,6 +243,9 @@
 		FirstStart:     cfg.Director.FirstStart,
 		ShardPaid:      len(cfg.Director.Directors) > 1,
 	})
+	d.descriptors = limits.PlanDescriptors(loop.MaxDescriptors())
+	eventLoop.SetMaxLingering(d.descriptors.Lingering)
+	d.connManager = connmgr.New(connmgr.Config{RequestGraceMs: requestGraceMs, KeepSessions: true})
 	d.initAdmission()
 	d.initQuality()
 	t := &cfg.Times
@@ -278,6 +287,7 @@
 		return err
 	}
 	d.listener = ln
+	ln.SetGate(d.makeRoom)
 	if err := d.listenAgentChecks(); err != nil {
 		return err
 	}
--- a/internal/director/http.go
+++ b/internal/director/http.go
@@ -6,6 +6,7 @@
 	"net/url"
 	"strings"
 
+	"headmill/decide/connmgr"
 	"headmill/decide/idempotency"
 	"headmill/decide/limits"
 	"headmill/decide/shutdown"
@@ -24,10 +25,14 @@
 	viewerAwaitingResult                    // the request is with the ledger; input is held back. Also set by an upgrade
 )
 
+// viewerReadBudget is the input, in bytes, that is read from one connection of a viewer in an iteration of the loop.
+const viewerReadBudget = 1024
+
 // viewerConn is one HTTP connection of a viewer.
 type viewerConn struct {
 	director  *Director
 	conn      *loop.Conn
+	id        connmgr.ConnID
 	parser    *http1.Parser
 	pipelined []byte          // input pipelined behind the pending request
 	request   *sessionRequest // the request that waits for its result
@@ -38,18 +43,15 @@
 	closing   bool // the last answer was written; input is discarded
 }
 
-// accept takes a new connection, or refuses it by returning nil at the limit of connections.
+// accept takes a new connection; makeRoom has made room for it.
 func (d *Director) accept(conn *loop.Conn) loop.Handler {
-	if !d.quotas.Acquire(limits.Connections, 1) {
-		if now := d.loop.Now(); now-d.lastConnLimitLogAt > logIntervalMs {
-			d.lastConnLimitLogAt = now
-			d.log.Warn("connections closed at once: limits.connections is reached",
-				"connections", d.quotas.Usage(limits.Connections).Used)
-		}
-		return nil
-	}
 	v := &viewerConn{director: d, conn: conn, deadline: d.loop.Now() + d.cfg.Times.IdleMs}
 	conn.SetOutputLimit(d.cfg.Limits.Output)
+	conn.SetReadBudget(viewerReadBudget)
+	var ok bool
+	if v.id, ok = d.addConn(v); !ok {
+		return nil
+	}
 	d.viewers[v] = struct{}{}
 	return v
 }
@@ -71,7 +73,7 @@
 		d.stats.SlowReaders++
 	}
 	delete(d.viewers, v)
-	d.quotas.Release(limits.Connections, 1)
+	d.removeConn(v.id)
 	if v.state == viewerAwaitingResult {
 		d.cancel(v.request)
 	}
@@ -96,12 +98,14 @@
 	if v.closing {
 		return
 	}
+	v.director.stepConnManager(connmgr.Event{Kind: connmgr.Received, Conn: v.id})
 	if v.state >= viewerCheckingToken {
 		v.pipelined = append(v.pipelined, b...)
 		v.conn.SetReadPaused(true)
-		return
+	} else {
+		v.parse(b)
 	}
-	v.parse(b)
+	v.reportInput()
 }
 
 // parse consumes input request by request until one is pending.
@@ -167,6 +171,7 @@
 // handleRequest answers a complete request or passes it on to the ledger.
 func (v *viewerConn) handleRequest() {
 	d, msg := v.director, &v.parser.Msg
+	d.stepConnManager(connmgr.Event{Kind: connmgr.RequestRead, Conn: v.id})
 	v.keepAlive = !msg.Close && d.shutdown.Phase() == shutdown.PhaseServing
 	path, query, _ := strings.Cut(string(msg.Target), "?")
 	method := string(msg.Method)
@@ -284,6 +289,7 @@
 func (v *viewerConn) checkToken(raw string, next func(*token.Claims)) {
 	d := v.director
 	v.state, v.deadline = viewerCheckingToken, 0
+	v.reportUse()
 	synchronous := true
 	d.tokenChecks++
 	if !d.tokenChecker.VerifyAsync(d.tokenPool, raw, func(c *token.Claims, err error) {
--- a/internal/director/metrics.go
+++ b/internal/director/metrics.go
@@ -141,6 +141,6 @@
 		EnableOpenMetrics:   true,
 	}))
 	s := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
-	go s.Serve(ln)
+	go s.Serve(&boundedListener{Listener: ln, maxConns: d.descriptors.Operators})
 	return ln.Addr().String(), func() { s.Close() }, nil
 }
--- a/internal/director/operator.go
+++ b/internal/director/operator.go
@@ -31,7 +31,7 @@
 	}
 	s := grpc.NewServer(grpc.MaxRecvMsgSize(1<<16), grpc.ConnectionTimeout(5*time.Second))
 	pb.RegisterOperatorServer(s, &operatorServer{director: d})
-	go s.Serve(ln)
+	go s.Serve(&boundedListener{Listener: ln, maxConns: d.descriptors.Operators})
 	return ln.Addr().String(), s.Stop, nil
 }
 
--- a/internal/director/response.go
+++ b/internal/director/response.go
@@ -44,6 +44,7 @@
 	d.writeBuffer = b[:0]
 	v.releaseParser()
 	v.state, v.request = viewerIdle, nil
+	v.reportUse()
 	v.conn.Write(b)
 	if !v.keepAlive {
 		v.closing = true
@@ -64,10 +65,16 @@
 		v.pipelined = nil
 		v.parse(rest)
 	}
+	v.reportInput()
 }
 
 // writeProblem answers with a problem document (RFC 9457). A retryMs of 0 omits the retry advice.
 func (v *viewerConn) writeProblem(status int, problem, detail string, retryMs float64) {
+	v.writeResponse(v.problem(status, problem, detail, retryMs))
+}
+
+// problem returns a response with a problem document.
+func (v *viewerConn) problem(status int, problem, detail string, retryMs float64) []byte {
 	b := v.responseHead(status)
 	if status == 405 {
 		b = http1.AppendField(b, "Allow", "GET, OPTIONS")
@@ -88,7 +95,7 @@
 	}{problemTypePrefix + problem, http1.Reason(status), status, detail, retryMs}
 	body, _ := json.Marshal(doc) // strings and numbers only: cannot fail
 	b = http1.AppendField(b, "Content-Type", "application/problem+json")
-	v.writeResponse(http1.AppendBody(b, body, false))
+	return http1.AppendBody(b, body, false)
 }
 
 // methodNotAllowed answers 405.
--- a/internal/director/websocket.go
+++ b/internal/director/websocket.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"headmill/decide/connmgr"
 	"headmill/decide/idempotency"
 	"headmill/decide/limits"
 	"headmill/decide/shutdown"
@@ -32,6 +33,7 @@
 type webSocket struct {
 	director       *Director
 	conn           *loop.Conn
+	id             connmgr.ConnID
 	reader         ws.Reader
 	isJSON         bool
 	token          string            // the token that authorized the handshake
@@ -92,6 +94,7 @@
 		w := &webSocket{
 			director:       d,
 			conn:           v.conn,
+			id:             v.id,
 			isJSON:         subprotocol == jsonProtocol,
 			token:          strings.Clone(raw),
 			lastReceivedAt: d.loop.Now(),
@@ -100,6 +103,8 @@
 		}
 		delete(d.viewers, v)
 		d.webSockets[w] = struct{}{}
+		d.connOwners[w.id] = w
+		w.reportUse()
 		v.releaseParser()
 		rest := v.pipelined
 		// The viewerConn handles no input after this. There is no request: the state only keeps checkToken from
@@ -128,12 +133,14 @@
 // Data parses frames.
 func (w *webSocket) Data(_ *loop.Conn, b []byte) {
 	w.lastReceivedAt, w.pingSent = w.director.loop.Now(), false
+	w.director.stepConnManager(connmgr.Event{Kind: connmgr.Received, Conn: w.id})
 	if err := w.reader.Feed(b, w.handleMessage); err != nil {
 		var wsErr *ws.Error
 		if errors.As(err, &wsErr) {
 			w.close(wsErr.Code, wsErr.Reason)
 		}
 	}
+	w.reportInput()
 }
 
 // Closed cancels the pending requests and detaches the sessions, which play on for Times.DetachedTTLMs (times.tie_ms).
@@ -143,7 +150,7 @@
 		d.stats.SlowReaders++
 	}
 	delete(d.webSockets, w)
-	d.quotas.Release(limits.Connections, 1)
+	d.removeConn(w.id)
 	for _, req := range w.requests {
 		d.cancel(req)
 	}
@@ -272,6 +279,7 @@
 	d := w.director
 	w.tokenChecks++
 	d.tokenChecks++
+	w.reportUse()
 	if !d.tokenChecker.VerifyAsync(d.tokenPool, raw, func(c *token.Claims, err error) {
 		w.tokenChecks--
 		d.tokenChecks--
@@ -282,9 +290,11 @@
 		default:
 			next(raw, c)
 		}
+		w.reportUse()
 	}) {
 		w.tokenChecks--
 		d.tokenChecks--
+		w.reportUse()
 		d.stats.Refused++
 		w.sendRefused(id, "checks", "more session tokens come than this director can check; nothing was set up",
 			d.cfg.Attempts.MaxRetryAfterMs)
@@ -398,6 +408,7 @@
 			break
 		}
 	}
+	defer w.reportUse()
 	switch r.outcome {
 	case outcomePlaying:
 		w.attach(r.session)
@@ -467,6 +478,7 @@
 			break
 		}
 	}
+	w.reportUse()
 	w.director.quotas.Release(limits.SocketSessions, 1)
 	w.send(&pb.ServerMessage{Body: &pb.ServerMessage_Ended{Ended: &pb.Ended{Jti: s.claims.jti, Why: reason}}})
 }
--- a/internal/http1/parser.go
+++ b/internal/http1/parser.go
@@ -144,6 +144,9 @@
 // Idle reports whether no byte of the next message has been received.
 func (p *Parser) Idle() bool { return p.state == stateHead && len(p.pending) == 0 }
 
+// Held returns the memory, in bytes, that the parser holds for the current message.
+func (p *Parser) Held() int { return cap(p.pending) + cap(p.headStorage) + cap(p.body) }
+
 // HeadDone reports whether the head of the current message has been parsed.
 func (p *Parser) HeadDone() bool { return p.state != stateHead && p.state != stateFailed }
 
--- a/internal/ws/ws.go
+++ b/internal/ws/ws.go
@@ -118,6 +118,9 @@
 // Idle reports whether neither a frame nor a fragmented message is incomplete.
 func (r *Reader) Idle() bool { return !r.inPayload && r.headerLen == 0 && r.messageOp == 0 }
 
+// Held returns the memory, in bytes, that the reader holds for the current message.
+func (r *Reader) Held() int { return cap(r.message) }
+
 // readHeader collects the 6 to 14 bytes of a masked frame's header; the first two are checked as soon as they arrive.
 func (r *Reader) readHeader(b []byte) (used int, err error) {
 	for used < len(b) {
