Fronts: no session is begun for a viewer that has left or has ended it

The loop's news of a peer's close cancels what is pending; what else was sent before is carried out. Opens and ends of a connection are carried out in their order, and an open waits for unread input (decide/inputorder).

--- a/internal/director/connlimit.go
+++ b/internal/director/connlimit.go
@@ -111,7 +111,7 @@
 // reportUse reports the pending messages and the sessions of the connection to decide/connmgr.
 func (w *webSocket) reportUse() {
 	w.director.stepConnManager(connmgr.Event{Kind: connmgr.UseChanged, Conn: w.id,
-		PendingSetups: len(w.requests) + w.tokenChecks, Sessions: len(w.sessions)})
+		PendingSetups: w.pendingMessages(), Sessions: len(w.sessions)})
 }
 
 // reportInput reports the input that the connection holds to decide/connmgr: an incomplete request, or ones behind a pending one.
--- a/internal/director/http.go
+++ b/internal/director/http.go
@@ -41,6 +41,7 @@
 	state     viewerState
 	keepAlive bool // the connection persists after the answer
 	closing   bool // the last answer was written; input is discarded
+	left      bool // the viewer has closed its side: no request of it for a session is started
 }
 
 // accept takes a new connection; makeRoom has made room for it.
@@ -66,6 +67,25 @@
 	}
 }
 
+// PeerClosing implements loop.PeerCloseHandler. Nobody waits for the pending request any more, nor for those behind it; what else the
+// viewer has sent before, as ends and reports, is carried out.
+func (v *viewerConn) PeerClosing(*loop.Conn) {
+	v.left = true
+	if v.state == viewerAwaitingResult && v.webSocket == nil {
+		v.director.cancel(v.request)
+		v.dropRequest()
+		v.resume()
+	}
+}
+
+// dropRequest prepares for the next request without an answer to this one.
+func (v *viewerConn) dropRequest() {
+	v.releaseParser()
+	v.state, v.request = viewerIdle, nil
+	v.deadline = v.director.loop.Now() + v.director.cfg.Times.IdleMs
+	v.reportUse()
+}
+
 // Closed removes the connection from the tables and cancels its pending request.
 func (v *viewerConn) Closed(_ *loop.Conn, err error) {
 	d := v.director
@@ -277,6 +297,8 @@
 			v.writeResponse(append(v.responseHead(204), "\r\n"...))
 		case end:
 			v.writeProblem(404, "no-such-session", "no session of this token plays or is being set up here", 0)
+		case v.left:
+			v.dropRequest()
 		default:
 			v.state, v.request = viewerAwaitingResult, &sessionRequest{responder: v}
 			d.submit(v.request, t, raw, c)
--- a/internal/director/request.go
+++ b/internal/director/request.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -207,8 +208,8 @@
 // session of that token.
 func (d *Director) requestEnd(c *token.Claims) bool {
 	_, state, known := d.ledger.Lookup(c.ID)
-	if !known || state == idempotency.StateEnded || state == idempotency.StateNeverRan ||
-		state == idempotency.StateOutcomeUnknown {
+	if !d.requestQueued(c.ID) && (!known || state == idempotency.StateEnded || state == idempotency.StateNeverRan ||
+		state == idempotency.StateOutcomeUnknown) {
 		return false
 	}
 	d.ledgerEvents = append(d.ledgerEvents, idempotency.Event{
@@ -219,6 +220,13 @@
 	return true
 }
 
+// requestQueued reports whether a request with a key is on its way to the ledger.
+func (d *Director) requestQueued(key string) bool {
+	return slices.ContainsFunc(d.ledgerEvents, func(ev idempotency.Event) bool {
+		return ev.Kind == idempotency.RequestArrived && ev.Key == key
+	})
+}
+
 // shuttingDownDetail is the problem detail of a refusal during a shutdown.
 const shuttingDownDetail = "this director is stopping; another one will take the session"
 
--- a/internal/director/websocket.go
+++ b/internal/director/websocket.go
@@ -9,8 +9,8 @@
 
 	"headmill/decide/connmgr"
 	"headmill/decide/idempotency"
+	"headmill/decide/inputorder"
 	"headmill/decide/limits"
-	"headmill/decide/shutdown"
 	pb "headmill/internal/api/sessionv1"
 	"headmill/internal/http1"
 	"headmill/internal/loop"
@@ -39,10 +39,15 @@
 	token          string            // the token that authorized the handshake
 	requests       []*sessionRequest // pending
 	tokenChecks    int               // number of tokens being verified for messages
+	opens          []*openMessage    // requests that are not submitted yet, oldest first
+	unsubmitted    inputorder.Queue  // those of opens whose token was verified
+	submitting     bool              // submitOpens is posted to the loop
+	lastOpen       inputorder.RequestID
 	sessions       []*session
 	lastReceivedAt float64 // loop time, ms
 	pingSent       bool
 	closeSent      bool               // a close frame was sent
+	left           bool               // the player has closed its side: no session is requested for it
 	closeDeadline  float64            // loop time, ms, at which the connection is closed after a close frame
 	reportLimiter  limits.RateLimiter // of all attached sessions
 }
@@ -134,6 +139,8 @@
 func (w *webSocket) Data(_ *loop.Conn, b []byte) {
 	w.lastReceivedAt, w.pingSent = w.director.loop.Now(), false
 	w.director.stepConnManager(connmgr.Event{Kind: connmgr.Received, Conn: w.id})
+	w.unsubmitted.BytesRead(len(b))
+	defer w.submitOpens()
 	if err := w.reader.Feed(b, w.handleMessage); err != nil {
 		var wsErr *ws.Error
 		if errors.As(err, &wsErr) {
@@ -143,6 +150,17 @@
 	w.reportInput()
 }
 
+// PeerClosing implements loop.PeerCloseHandler. The pending requests are cancelled; what else the player has sent before, as ends and
+// reports, is carried out.
+func (w *webSocket) PeerClosing(*loop.Conn) {
+	w.left = true
+	for _, req := range w.requests {
+		w.director.cancel(req)
+	}
+	w.requests, w.opens = nil, nil
+	w.reportUse()
+}
+
 // Closed cancels the pending requests and detaches the sessions, which play on for Times.DetachedTTLMs (times.tie_ms).
 func (w *webSocket) Closed(_ *loop.Conn, err error) {
 	d := w.director
@@ -161,7 +179,7 @@
 			Session: s.id,
 		})
 	}
-	w.requests, w.sessions = nil, nil
+	w.requests, w.opens, w.sessions = nil, nil, nil
 }
 
 // detach removes the connection from the session's list and releases its quota.
@@ -271,11 +289,17 @@
 	})
 }
 
-// checkToken verifies a token and calls next with its claims. An empty token means the connection's own.
-func (w *webSocket) checkToken(id uint64, raw string, next func(raw string, c *token.Claims)) {
+// ownToken returns the token of a message. An empty one means the connection's own.
+func (w *webSocket) ownToken(raw string) string {
 	if raw == "" {
-		raw = w.token
+		return w.token
 	}
+	return raw
+}
+
+// checkToken verifies a token and calls done with its claims, or with nil once the message was answered with an error. The
+// connection may have closed by then.
+func (w *webSocket) checkToken(id uint64, raw string, done func(c *token.Claims)) {
 	d := w.director
 	w.tokenChecks++
 	d.tokenChecks++
@@ -283,13 +307,13 @@
 	if !d.tokenChecker.VerifyAsync(d.tokenPool, raw, func(c *token.Claims, err error) {
 		w.tokenChecks--
 		d.tokenChecks--
-		switch {
-		case !w.conn.Open():
-		case err != nil:
+		if !w.conn.Open() {
+			c = nil
+		} else if err != nil {
 			w.reject(id, unauthorized(err))
-		default:
-			next(raw, c)
+			c = nil
 		}
+		done(c)
 		w.reportUse()
 	}) {
 		w.tokenChecks--
@@ -298,6 +322,7 @@
 		d.stats.Refused++
 		w.sendRefused(id, "checks", "more session tokens come than this director can check; nothing was set up",
 			d.cfg.Attempts.MaxRetryAfterMs)
+		done(nil)
 	}
 }
 
@@ -307,64 +332,6 @@
 	w.sendFailed(id, reqErr.status, reqErr.problem, reqErr.detail)
 }
 
-// handleOpen requests a session, or attaches to the one of its token.
-func (w *webSocket) handleOpen(id uint64, m *pb.Open) {
-	d, maxima := w.director, &w.director.cfg.Limits
-	if d.shutdown.Phase() == shutdown.PhaseStopped {
-		d.stats.Refused++
-		w.sendRefused(id, idempotency.ReasonShuttingDown.String(), shuttingDownDetail, d.cfg.Attempts.MaxRetryAfterMs)
-		return
-	}
-	if pending := len(w.requests) + w.tokenChecks; pending >= maxima.PendingPerSocket ||
-		pending+len(w.sessions) >= maxima.SessionsPerSocket {
-		d.stats.Refused++ // a flood of opens costs no more than an answer each
-		w.sendRefused(id, "crowd", "too many sessions or open messages on this connection; nothing was set up",
-			d.cfg.Attempts.MaxRetryAfterMs)
-		return
-	}
-	w.checkToken(id, m.Token, func(raw string, c *token.Claims) {
-		t, reqErr := d.validateRequest("", c)
-		if reqErr == nil && m.WatchOnly {
-			if _, _, known := d.ledger.Lookup(c.ID); !known {
-				reqErr = &requestError{
-					404, "no-such-session", "no session of this token plays or is being set up here",
-				}
-			}
-		}
-		if reqErr != nil {
-			w.reject(id, reqErr)
-			return
-		}
-		if !d.quotas.Fits(limits.SocketSessions, 1) {
-			d.stats.Refused++
-			w.sendRefused(id, "full", "this director is at a limit of its settings; nothing was set up",
-				d.cfg.Attempts.MaxRetryAfterMs)
-			return
-		}
-		req := &sessionRequest{responder: w, messageID: id, inlineManifest: m.Inline, connectionBound: true}
-		w.requests = append(w.requests, req)
-		d.submit(req, t, raw, c)
-	})
-}
-
-// handleEnd ends a session at its viewer's request.
-func (w *webSocket) handleEnd(id uint64, m *pb.End) {
-	w.checkToken(id, m.Token, func(_ string, c *token.Claims) {
-		if _, reqErr := w.director.validateRequest("", c); reqErr != nil {
-			w.reject(id, reqErr)
-			return
-		}
-		if !w.director.requestEnd(c) {
-			w.sendFailed(id, 404, "no-such-session", "no session of this token plays or is being set up here")
-			return
-		}
-		w.send(&pb.ServerMessage{
-			Id:   id,
-			Body: &pb.ServerMessage_Ended{Ended: &pb.Ended{Jti: c.ID, Why: "by its viewer"}},
-		})
-	})
-}
-
 // maxReportBytes is the length limit of one player report.
 const maxReportBytes = 512
 
