Fronts: ends that come right before a close are carried out

Callers saw: a viewer that ends several sessions on one connection and closes it right after left sessions playing: 3 of 4 DELETEs with tokens not verified before, 2 of 4 with known ones, 6 of 8 ends of the session API. Causes: the answer to the first one meets a reset, and from then on the connection counted as not open; on the DASH path the end of the connection came while a token was being verified.

Ends are carried out whether or not they can be answered. While a DELETE's token is verified its connection is not read; no answer is written in front of further requests to a viewer that has closed its side. A DELETE before a reset while its token is being verified is still lost.

--- a/internal/director/http.go
+++ b/internal/director/http.go
@@ -131,7 +131,7 @@
 // parse consumes input request by request until one is pending.
 func (v *viewerConn) parse(b []byte) {
 	d := v.director
-	for len(b) > 0 && v.conn.Open() && !v.closing {
+	for len(b) > 0 && v.conn.Receiving() && !v.closing {
 		if v.parser == nil {
 			v.parser = d.newParser()
 		}
@@ -304,6 +304,9 @@
 			d.submit(v.request, t, raw, c)
 		}
 	})
+	if end && v.state == viewerCheckingToken {
+		v.conn.SetReadPaused(true) // resume goes on: the end of the connection must not come before that of the session
+	}
 }
 
 // checkToken verifies a token's signature, which may happen on the worker pool, and calls next with its claims.
@@ -316,7 +319,7 @@
 	d.tokenChecks++
 	if !d.tokenChecker.VerifyAsync(d.tokenPool, raw, func(c *token.Claims, err error) {
 		d.tokenChecks--
-		if !v.conn.Open() || v.state != viewerCheckingToken { // the viewer disconnected; nothing was started for it
+		if !v.conn.Receiving() || v.state != viewerCheckingToken { // the viewer disconnected; nothing was started for it
 			return
 		}
 		if err != nil {
--- a/internal/director/leaving_test.go
+++ b/internal/director/leaving_test.go
@@ -84,3 +84,64 @@
 		})
 	}
 }
+
+// Guards against sessions that play on though their viewer has ended them, as it closes its connection right after the DELETEs:
+// the signature of a token is still being verified, or the answer to the first one is met with a reset.
+func TestSessionsEndedByAViewerThatLeaves(t *testing.T) {
+	const sessions = 4
+	for name, renewed := range map[string]bool{"tokens known": false, "tokens renewed": true} {
+		t.Run(name, func(t *testing.T) {
+			env := newTestEnv(t, 1, nil)
+			var ends strings.Builder
+			for i := range sessions {
+				jti := fmt.Sprint("ended", i)
+				raw := env.token("free", jti)
+				env.wantStatus("session", env.get("free", raw), 200)
+				if renewed {
+					raw = env.tokenFor("free", jti, time.Hour)
+				}
+				fmt.Fprintf(&ends, "DELETE /dash/free-title/manifest.mpd?token=%s HTTP/1.1\r\nHost: d\r\n\r\n", raw)
+			}
+			conn, err := net.Dial("tcp4", strings.TrimPrefix(env.baseURL, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			env.onLoop(func() int { // the loop is blocked
+				conn.Write([]byte(ends.String()))
+				conn.Close()
+				time.Sleep(20 * time.Millisecond)
+				return 0
+			})
+			time.Sleep(500 * time.Millisecond)
+			if standing := env.onLoop(env.director.standingCount); standing != 0 {
+				t.Errorf("%d of %d sessions play on", standing, sessions)
+			}
+		})
+	}
+}
+
+// Guards against sessions that play on though their player has ended them, as it closes its connection right after: the answer to
+// the first end is met with a reset.
+func TestSessionsEndedByAPlayerThatLeaves(t *testing.T) {
+	const sessions = 8
+	env := newTestEnv(t, 1, nil)
+	p := env.dialPlayer(env.token("free", "player"))
+	var tokens []string
+	for i := range sessions {
+		tokens = append(tokens, env.token("free", fmt.Sprint("ended", i)))
+		p.open(uint64(i), tokens[i])
+		p.waitPlaying(uint64(i))
+	}
+	env.onLoop(func() int { // the loop is blocked
+		for i, raw := range tokens {
+			p.send(&pb.ClientMessage{Id: uint64(100 + i), Body: &pb.ClientMessage_End{End: &pb.End{Token: raw}}})
+		}
+		p.conn.CloseNow()
+		time.Sleep(20 * time.Millisecond)
+		return 0
+	})
+	time.Sleep(500 * time.Millisecond)
+	if standing := env.onLoop(env.director.standingCount); standing != 0 {
+		t.Errorf("%d of %d sessions play on", standing, sessions)
+	}
+}
--- a/internal/director/response.go
+++ b/internal/director/response.go
@@ -45,7 +45,9 @@
 	v.releaseParser()
 	v.state, v.request = viewerIdle, nil
 	v.reportUse()
-	v.conn.Write(b)
+	if !v.hasLeftMore() {
+		v.conn.Write(b)
+	}
 	if !v.keepAlive {
 		v.closing = true
 		v.deadline = d.loop.Now() + d.cfg.Times.WriteMs
@@ -58,6 +60,12 @@
 	}
 }
 
+// hasLeftMore reports whether the viewer has closed its side and left requests behind the present one. An answer may then be met
+// with a reset, which ends the connection ahead of them.
+func (v *viewerConn) hasLeftMore() bool {
+	return v.left && v.keepAlive && (len(v.pipelined) > 0 || v.conn.Unread())
+}
+
 // resume parses the requests that were pipelined behind the answered one.
 func (v *viewerConn) resume() {
 	v.conn.SetReadPaused(false)
--- a/internal/director/websocket.go
+++ b/internal/director/websocket.go
@@ -307,9 +307,7 @@
 	if !d.tokenChecker.VerifyAsync(d.tokenPool, raw, func(c *token.Claims, err error) {
 		w.tokenChecks--
 		d.tokenChecks--
-		if !w.conn.Open() {
-			c = nil
-		} else if err != nil {
+		if err != nil {
 			w.reject(id, unauthorized(err))
 			c = nil
 		}
