Fronts: the seat of an ended session is held until its media node confirms the end

Cause: an ended session freed its seat at once, before its DELETE was answered.

In capped classes the seat is held until the media node has answered, lists its sessions, refuses connections, or has been out of reach for 30 s (health.SessionEnding). The price: a player that ends a session and opens the next one of the title at once may be refused until the answer has come.

--- a/decide/health/health.go
+++ b/decide/health/health.go
@@ -30,6 +30,7 @@
 //	SessionStarted  idle, down: opens the stream (to opening); in every state it counts as contact
 //	SessionAdopted  as SessionStarted, but is no contact
 //	SessionEnded    removes the session or its set-up; without any left the media node is unused
+//	SessionEnding   gives up a session without SessionLost: its viewer has ended it
 //	LostSessionEnded
 //	                removes a session that was given up
 //	ProcessStarted  the sessions that were set up before it, also given-up ones, have ended with the process before: loses
@@ -78,7 +79,8 @@
 	SessionStarted                    // Node, Session, ConnectedAt: the media node has just answered that it plays there
 	SessionAdopted                    // Node, Session: it plays there, by an earlier answer or a viewer's word
 	SessionEnded                      // Node, Session: it ended, or its set-up failed
-	LostSessionEnded                  // Node, Session: the media node has reported the end of a session that was given up
+	SessionEnding                     // Node, Session: its viewer has ended it, and the media node is told; it may play on
+	LostSessionEnded                  // Node, Session: the media node has reported or confirmed the end of a session that was given up
 	ProcessStarted                    // Node, ProcessStartedAt: the present process of the media node started then
 	StreamOpened                      // Node, BootID, Sessions (with Config.StreamListsSessions): the stream has just come up
 	StreamActivity                    // Node: bytes from it
@@ -271,6 +273,11 @@
 		if node.unused() {
 			node.unusedSince = m.now
 		}
+	case SessionEnding:
+		if session, ok := node.sessions[ev.Session]; ok {
+			delete(node.sessions, ev.Session)
+			node.givenUp[ev.Session] = givenUpSession{at: m.now, connectedAt: session.connectedAt}
+		}
 	case LostSessionEnded:
 		delete(node.givenUp, ev.Session)
 		if node.unused() {
--- a/decide/health/lost_test.go
+++ b/decide/health/lost_test.go
@@ -1,6 +1,9 @@
 package health
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
 
 // Guards against a seat that is given again while its session, which its viewer has ended, plays at a media node that is cut off
 // (review/10).
@@ -20,3 +23,19 @@
 		}
 	}
 }
+
+// Guards against a seat that is free while the session which its viewer has ended may still stand: until its media node has
+// confirmed the end, has listed its sessions, or has been out of reach for long.
+func TestEndingSessionsAreConfirmedOrOutwaited(t *testing.T) {
+	ending := []step{{0, setupSent(1), "open"}, {1, opened(), ""}, {2, started(1), ""},
+		{10, Event{Kind: SessionEnding, Session: 1}, ""}, {11, ended(1), ""}}
+	for name, rest := range map[string][]step{
+		"confirmed":              {{20, Event{Kind: LostSessionEnded, Session: 1}, ""}, {303, tick, "close"}},
+		"listed after a silence": {{303, tick, "open"}, {310, opened(1), "gone1 orphan1"}, {811, tick, "close"}},
+		"ended meanwhile":        {{303, tick, "open"}, {310, opened(), "gone1"}},
+		"never reached": {{303, tick, "open"}, {310, failed, ""}, {410, tick, "open"}, {420, failed, ""},
+			{3011, tick, "open gone1"}},
+	} {
+		t.Run(name, func(t *testing.T) { run(t, name, newTestMonitor(), append(slices.Clone(ending), rest...)) })
+	}
+}
--- a/internal/director/session.go
+++ b/internal/director/session.go
@@ -286,9 +286,16 @@
 		s.setup.earlyEnd = &earlyEnd{load, reason}
 	case s.unclaimed() && s.node == node.id:
 		d.endUnclaimed(s)
+	case s.node == node.id:
+		d.lostSessionEnded(s)
 	}
 }
 
+// classCapped tells whether the sessions of a session's class count against a cap.
+func (d *Director) classCapped(s *session) bool {
+	return d.cfg.ModuleConfig().Classes[s.title.class].Capped()
+}
+
 // endUnclaimed ends a session that plays for no viewer, and has ended at its media node.
 func (d *Director) endUnclaimed(s *session) {
 	d.withdrawUnclaimed(s)
@@ -298,7 +305,7 @@
 // loseSession ends a playing session that was lost with its media node. One that the media node may still play holds its
 // reservation, and its place under its class's cap, until it plays no longer.
 func (d *Director) loseSession(s *session, mayPlay bool) {
-	if health.HoldsReservation(mayPlay, d.cfg.ModuleConfig().Classes[s.title.class].Capped()) {
+	if health.HoldsReservation(mayPlay, d.classCapped(s)) {
 		d.lostSessions[s.id] = s
 		d.endForPlayer(s, "lost")
 		return
@@ -306,6 +313,19 @@
 	d.endSession(s, headmill.OutcomeReset, orca.Load{}, "lost")
 }
 
+// lostSessionEnded frees what a session held that was lost, or ended by its viewer, and that its media node has ended.
+func (d *Director) lostSessionEnded(s *session) {
+	if d.lostSessions[s.id] != s {
+		return
+	}
+	d.healthEvents = append(d.healthEvents, health.Event{
+		Kind:    health.LostSessionEnded,
+		Node:    health.NodeID(s.node),
+		Session: health.SessionID(s.id),
+	})
+	d.freeLostSession(s.id)
+}
+
 // freeLostSession frees what a lost session held that plays no longer.
 func (d *Director) freeLostSession(id idempotency.SessionID) {
 	if s := d.lostSessions[id]; s != nil {
@@ -359,15 +379,32 @@
 
 // endAtNode ends a session at its media node: one that plays, or one that was set up after its attempt was given up.
 func (d *Director) endAtNode(s *session) {
-	if s.mediaURL != "" && s.node != 0 {
-		d.unconfirmedEnds++
-		d.node(s.node).enqueueCommand("DELETE", "/sessions/"+d.sessionName(s), "", func(bool) { d.unconfirmedEnds-- })
-		if s.state != sessionPlaying {
-			d.withdrawUnclaimed(s)
+	const reason = "ended here" // by this director
+	if s.mediaURL == "" || s.node == 0 {
+		d.endSession(s, headmill.OutcomeCancelled, orca.Load{}, reason)
+		return
+	}
+	d.unconfirmedEnds++
+	d.node(s.node).enqueueCommand("DELETE", "/sessions/"+d.sessionName(s), "", func(ok bool) {
+		d.unconfirmedEnds--
+		if ok {
+			d.lostSessionEnded(s)
 		}
+	})
+	switch {
+	case s.state != sessionPlaying:
+		d.withdrawUnclaimed(s)
+	case health.HoldsReservation(true, d.classCapped(s)):
+		d.lostSessions[s.id] = s // its media node may be cut off, and play it on
+		d.healthEvents = append(d.healthEvents, health.Event{
+			Kind:    health.SessionEnding,
+			Node:    health.NodeID(s.node),
+			Session: health.SessionID(s.id),
+		})
+		d.endForPlayer(s, reason)
+	default:
+		d.endSession(s, headmill.OutcomeCancelled, orca.Load{}, reason)
 	}
-	// "ended here": by this director.
-	d.endSession(s, headmill.OutcomeCancelled, orca.Load{}, "ended here")
 }
 
 // adoptSession carries out the ledger's AdoptSession: after a late success it reports a session to the module, to
--- a/internal/director/testenv_test.go
+++ b/internal/director/testenv_test.go
@@ -301,6 +301,7 @@
 	listener    net.Listener
 	mu          sync.Mutex
 	setups      int
+	silent      bool // nothing is written, as by a media node that is cut off
 	stop        chan struct{}
 	handleSetup func(c net.Conn, setup int)
 }
@@ -347,12 +348,18 @@
 			return
 		}
 		io.Copy(io.Discard, req.Body)
+		for s.isSilent() {
+			time.Sleep(10 * time.Millisecond)
+		}
 		switch req.Method {
 		case "GET":
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"+
 				"event: hello\ndata: {\"boot\":\"raw\",\"sessions\":[]}\n\n")
 			for {
 				time.Sleep(200 * time.Millisecond)
+				if s.isSilent() {
+					continue
+				}
 				if _, err := io.WriteString(c, ":\n\n"); err != nil {
 					return
 				}
@@ -369,6 +376,18 @@
 	}
 }
 
+func (s *scriptedNode) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent
+}
+
+func (s *scriptedNode) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
 func (s *scriptedNode) setupCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
