Fronts: DELETEs before a reset are carried out while a token is being verified

Callers saw: a viewer that resets its connection right after a DELETE whose token is not known yet, as one does that closes it with answers unread, left its session playing. Cause: the callback of the verification did nothing for a connection that had ended, and what was pipelined behind was dropped with it.

--- a/internal/director/http.go
+++ b/internal/director/http.go
@@ -86,9 +86,11 @@
 	v.reportUse()
 }
 
-// Closed removes the connection from the tables and cancels its pending request.
+// Closed removes the connection from the tables and cancels its pending request for a session. Where a token is still being
+// verified, what was read is carried out once it is.
 func (v *viewerConn) Closed(_ *loop.Conn, err error) {
 	d := v.director
+	v.left = true
 	if errors.Is(err, loop.ErrSlowReader) {
 		d.stats.SlowReaders++
 	}
@@ -122,16 +124,18 @@
 	if v.state >= viewerCheckingToken {
 		v.pipelined = append(v.pipelined, b...)
 		v.conn.SetReadPaused(true)
-	} else {
-		v.parse(b)
+	} else if behind := v.parse(b); len(behind) > 0 {
+		v.pipelined = append(v.pipelined[:0], behind...)
+		v.conn.SetReadPaused(true)
 	}
 	v.reportInput()
 }
 
-// parse consumes input request by request until one is pending.
-func (v *viewerConn) parse(b []byte) {
+// parse consumes input request by request until one is pending, and returns what is behind that one. The connection may have
+// ended: nothing is written then, and no session is requested.
+func (v *viewerConn) parse(b []byte) (behind []byte) {
 	d := v.director
-	for len(b) > 0 && v.conn.Receiving() && !v.closing {
+	for len(b) > 0 && !v.closing {
 		if v.parser == nil {
 			v.parser = d.newParser()
 		}
@@ -148,29 +152,26 @@
 			}
 			v.keepAlive = false
 			v.writeProblem(status, "malformed", err.Error(), 0)
-			return
+			return nil
 		}
 		if !done {
 			if v.parser.Idle() { // only empty lines so far
 				v.state, v.deadline = viewerIdle, d.loop.Now()+d.cfg.Times.IdleMs
 			}
-			return
+			return nil
 		}
 		v.handleRequest()
 		if v.webSocket != nil {
 			if len(b) > 0 {
 				v.webSocket.Data(v.conn, b)
 			}
-			return
+			return nil
 		}
 		if v.state >= viewerCheckingToken {
-			if len(b) > 0 {
-				v.pipelined = append(v.pipelined[:0], b...)
-				v.conn.SetReadPaused(true)
-			}
-			return
+			return b
 		}
 	}
+	return nil
 }
 
 // newParser takes a parser from the free list or makes one.
@@ -297,7 +298,7 @@
 			v.writeResponse(append(v.responseHead(204), "\r\n"...))
 		case end:
 			v.writeProblem(404, "no-such-session", "no session of this token plays or is being set up here", 0)
-		case v.left:
+		case v.left || !v.conn.Receiving():
 			v.dropRequest()
 		default:
 			v.state, v.request = viewerAwaitingResult, &sessionRequest{responder: v}
@@ -309,8 +310,8 @@
 	}
 }
 
-// checkToken verifies a token's signature, which may happen on the worker pool, and calls next with its claims.
-// Requests pipelined behind this one wait until then.
+// checkToken verifies a token's signature, which may happen on the worker pool, and calls next with its claims. The
+// connection may have ended by then. Requests pipelined behind this one wait.
 func (v *viewerConn) checkToken(raw string, next func(*token.Claims)) {
 	d := v.director
 	v.state, v.deadline = viewerCheckingToken, 0
@@ -319,9 +320,6 @@
 	d.tokenChecks++
 	if !d.tokenChecker.VerifyAsync(d.tokenPool, raw, func(c *token.Claims, err error) {
 		d.tokenChecks--
-		if !v.conn.Receiving() || v.state != viewerCheckingToken { // the viewer disconnected; nothing was started for it
-			return
-		}
 		if err != nil {
 			v.reject(unauthorized(err))
 		} else {
--- a/internal/director/leaving_test.go
+++ b/internal/director/leaving_test.go
@@ -85,19 +85,28 @@
 	}
 }
 
-// Guards against sessions that play on though their viewer has ended them, as it closes its connection right after the DELETEs:
-// the signature of a token is still being verified, or the answer to the first one is met with a reset.
+// Guards against sessions that play on though their viewer has ended them, as it closes or resets its connection right after the
+// DELETEs: the signature of a token is still being verified, or the answer to the first one is met with a reset.
 func TestSessionsEndedByAViewerThatLeaves(t *testing.T) {
-	const sessions = 4
-	for name, renewed := range map[string]bool{"tokens known": false, "tokens renewed": true} {
+	for name, c := range map[string]struct {
+		sessions       int
+		renewed, reset bool
+	}{
+		"tokens known":             {sessions: 4},
+		"tokens renewed":           {sessions: 4, renewed: true},
+		"tokens known, a reset":    {sessions: 4, reset: true},
+		"token renewed, a reset":   {sessions: 1, renewed: true, reset: true},
+		"tokens renewed, a reset":  {sessions: 4, renewed: true, reset: true},
+		"more than one turn reads": {sessions: 12, renewed: true, reset: true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			env := newTestEnv(t, 1, nil)
 			var ends strings.Builder
-			for i := range sessions {
+			for i := range c.sessions {
 				jti := fmt.Sprint("ended", i)
 				raw := env.token("free", jti)
 				env.wantStatus("session", env.get("free", raw), 200)
-				if renewed {
+				if c.renewed {
 					raw = env.tokenFor("free", jti, time.Hour)
 				}
 				fmt.Fprintf(&ends, "DELETE /dash/free-title/manifest.mpd?token=%s HTTP/1.1\r\nHost: d\r\n\r\n", raw)
@@ -108,13 +117,16 @@
 			}
 			env.onLoop(func() int { // the loop is blocked
 				conn.Write([]byte(ends.String()))
+				if c.reset {
+					conn.(*net.TCPConn).SetLinger(0)
+				}
 				conn.Close()
 				time.Sleep(20 * time.Millisecond)
 				return 0
 			})
 			time.Sleep(500 * time.Millisecond)
 			if standing := env.onLoop(env.director.standingCount); standing != 0 {
-				t.Errorf("%d of %d sessions play on", standing, sessions)
+				t.Errorf("%d of %d sessions play on", standing, c.sessions)
 			}
 		})
 	}
--- a/internal/director/response.go
+++ b/internal/director/response.go
@@ -66,14 +66,31 @@
 	return v.left && v.keepAlive && (len(v.pipelined) > 0 || v.conn.Unread())
 }
 
-// resume parses the requests that were pipelined behind the answered one.
+// resume parses the requests that were pipelined behind the answered one. Of a connection that has ended there may be many: a
+// read budget of them is carried out in one iteration of the loop.
 func (v *viewerConn) resume() {
 	v.conn.SetReadPaused(false)
-	if rest := v.pipelined; len(rest) > 0 && !v.closing {
-		v.pipelined = nil
-		v.parse(rest)
+	defer v.reportInput()
+	rest := v.pipelined
+	v.pipelined = nil
+	if len(rest) == 0 || v.closing {
+		return
+	}
+	turn := len(rest)
+	if !v.conn.Receiving() {
+		turn = min(turn, viewerReadBudget)
+	}
+	behind := v.parse(rest[:turn])
+	rest = rest[turn-len(behind):]
+	if len(rest) == 0 || v.closing {
+		return
+	}
+	v.pipelined = rest
+	if v.state >= viewerCheckingToken {
+		v.conn.SetReadPaused(true)
+	} else {
+		v.director.loop.Post(v.resume)
 	}
-	v.reportInput()
 }
 
 // writeProblem answers with a problem document (RFC 9457). A retryMs of 0 omits the retry advice.
--- a/internal/director/websocket.go
+++ b/internal/director/websocket.go
@@ -96,6 +96,10 @@
 			v.reject(unauthorized(err))
 			return
 		}
+		if !v.conn.Receiving() {
+			v.dropRequest()
+			return
+		}
 		w := &webSocket{
 			director:       d,
 			conn:           v.conn,
