Platform: times of media node health, and overdue set-ups, are decided in decide/

Behaviour as before: TestSessionLossIsReportedInTime and TestRedeliveryTimesUnderAnySettings are unchanged but for the names they call. decide/health, decide/discovery and the proxy's tests pass. What may begin while placing is held stays in hold.go (ROADMAP).

--- a/decide/discovery/freshness.go
+++ b/decide/discovery/freshness.go
@@ -47,3 +47,7 @@
 	}
 	return !f.holding
 }
+
+// Overdue tells whether a set-up, whose viewer waits until deadline, is failed while placing waits: its time is over, so that it
+// is not placed again whatever the node list says.
+func (f *Freshness) Overdue(now, deadline float64) bool { return f.holding && deadline <= now }
--- a/decide/discovery/freshness_test.go
+++ b/decide/discovery/freshness_test.go
@@ -52,3 +52,18 @@
 		t.Error("a further answer is asked for while placing does not wait")
 	}
 }
+
+// Guards against answers that wait for a node list which they don't need: only a set-up with time left is placed by it.
+func TestOverdueSetupsNeedNoList(t *testing.T) {
+	f := &Freshness{MaxAgeMs: 1500, MaxHoldMs: 200, Confirmations: 1}
+	f.Answered(1000)
+	if f.Overdue(3000, 2000) {
+		t.Error("a set-up is failed though placing does not wait")
+	}
+	f.Stalled(3000)
+	for deadline, want := range map[float64]bool{2000: true, 3000: true, 3001: false} {
+		if got := f.Overdue(3000, deadline); got != want {
+			t.Errorf("deadline %v: overdue %v", deadline, got)
+		}
+	}
+}
--- a/internal/platform/proxy/config_test.go
+++ b/internal/platform/proxy/config_test.go
@@ -133,7 +133,7 @@
 				t.Fatal(err)
 			}
 			cfg.Module.ReportIntervalMs, cfg.Module.ReportDelayMs, cfg.ConnectMs = intervalMs, intervalMs/2, connectMs
-			monitor := healthConfig(cfg)
+			monitor := healthTiming(cfg).Config()
 			// In the silence before that, two connections in a row may come up late.
 			probes := 2*math.Min(connectMs+1000, 1500) + monitor.MinRetryMs + sweepIntervalMs
 			if monitor.NodeTimeoutMs+2*sweepIntervalMs > releaseRetentionMs || monitor.StreamTimeoutMs <= 0 ||
@@ -151,7 +151,7 @@
 	const releaseLimitMs = 1000.0 // from the media node's release to the viewer's
 	for _, connectMs := range []float64{1, 20, 250, 750, 1000, 5000, 60000} {
 		cfg := &Config{ConnectMs: connectMs}
-		times, lateMs := redeliveryConfig(cfg), probeTimeoutMs(cfg)
+		times, lateMs := redeliveryConfig(cfg), healthTiming(cfg).ProbeTimeoutMs()
 		secondDialMs := math.Max(2*times.RetryMs, lateMs) // after the first
 		worstMs := times.RefreshMs + secondDialMs + lateMs + 2*sweepIntervalMs
 		if worstMs > releaseRetentionMs || times.RefreshMs < 3000 || times.SettleMs+2*sweepIntervalMs > releaseLimitMs/2 {
--- a/internal/platform/proxy/hold.go
+++ b/internal/platform/proxy/hold.go
@@ -36,13 +36,10 @@
 	return true
 }
 
-// failOverdue fails the set-ups whose time is over, as they are not placed again whatever the node list says.
+// failOverdue fails the set-ups that need not wait for a node list.
 func (p *Proxy) failOverdue() {
-	if !p.holding {
-		return
-	}
 	for _, s := range p.sessions {
-		if s.state == statePending && s.deadline <= p.loop.Now() {
+		if s.state == statePending && p.freshness.Overdue(p.loop.Now(), s.deadline) {
 			p.failSetup(s, "set-up failed: its time ran out while the process stood still")
 		}
 	}
--- a/internal/platform/proxy/nodepool.go
+++ b/internal/platform/proxy/nodepool.go
@@ -83,7 +83,7 @@
 	if n.probeRoom() != nodepool.RoomFree {
 		return nil
 	}
-	return n.dialWithin(probeTimeoutMs(n.proxy.cfg))
+	return n.dialWithin(healthTiming(n.proxy.cfg).ProbeTimeoutMs())
 }
 
 func (n *mediaNode) probeRoom() nodepool.Room {
--- a/internal/platform/proxy/noderedelivery.go
+++ b/internal/platform/proxy/noderedelivery.go
@@ -1,10 +1,6 @@
 package proxy
 
-import (
-	"math"
-
-	"headmill/decide/redelivery"
-)
+import "headmill/decide/redelivery"
 
 // Connections on which media nodes send again the releases that they sent into an ended one; decide/redelivery says when.
 
@@ -13,12 +9,13 @@
 const endHandlingMs = 300.0
 
 // redeliveryConfig sets the times of decide/redelivery. A connection follows the newest one in time for two in a row to come
-// up late, as in healthConfig, before a release is due.
+// up late, as for decide/health, before a release is due.
 func redeliveryConfig(cfg *Config) redelivery.Config {
+	times := healthTiming(cfg).Config()
 	return redelivery.Config{
 		SettleMs:  endHandlingMs,
-		RefreshMs: healthConfig(cfg).StreamTimeoutMs,
-		RetryMs:   math.Min(2*cfg.ConnectMs, maxConnectDelayMs),
+		RefreshMs: times.StreamTimeoutMs,
+		RetryMs:   times.MaxRetryMs,
 	}
 }
 
--- a/internal/platform/proxy/proxy.go
+++ b/internal/platform/proxy/proxy.go
@@ -81,7 +81,7 @@
 	// does not require that release (PROTOCOL).
 	endConfirmMs = 400.0
 	// releaseRetentionMs is the time for which a release that no viewer has confirmed is kept (PROTOCOL, "The rules on
-	// sockets"). Viewers of a lost session must be notified within the same time, see healthConfig.
+	// sockets"). Viewers of a lost session must be notified within the same time, see healthTiming.
 	releaseRetentionMs = 8000.0
 	// releaseRetransmitMs is the time to wait for a confirmation before the release is repeated: a third of the second
 	// within which a viewer must be notified (PROTOCOL, "The rules on sockets").
@@ -180,7 +180,7 @@
 	module := &cfg.Module
 	p.nodeList = discovery.New(discovery.Config{MaxNodes: 4096, Cells: module.Cells, Kinds: len(cfg.Vocabulary.Kinds),
 		VersionsMayRestart: true})
-	p.healthMonitor = health.New(healthConfig(cfg))
+	p.healthMonitor = health.New(healthTiming(cfg).Config())
 	p.shutdownTimes = shutdownConfig(cfg)
 	p.shutdown = shutdown.New(p.shutdownTimes)
 	// File descriptors: at most a half for connections of viewers, a third for those to media nodes (dial) and a
