Proxy tests: a session's end by its viewer, and a look for set-ups, stand once

The harness has endSession, expectEndConfirmed and receivedSetup for that; what is checked is as before. The package passes.

--- a/internal/platform/proxy/harness_test.go
+++ b/internal/platform/proxy/harness_test.go
@@ -115,6 +115,15 @@
 	}
 }
 
+// receivedSetup reports whether a set-up is among the messages that have arrived; it takes them.
+func (n *standInNode) receivedSetup() (found bool) {
+	for len(n.received) > 0 {
+		msg := <-n.received
+		found = found || msg.typ == frame.Setup
+	}
+	return found
+}
+
 func (msg nodeMessage) sendAnswer(sdp string) {
 	out, start := frame.Begin(nil, frame.Answer, msg.id)
 	msg.conn.Write(frame.End(frame.AppendParameter(out, frame.SDP, sdp), start))
@@ -240,6 +249,19 @@
 		id, class, extras, id)
 }
 
+// endSession ends a session.
+func (v *viewerClient) endSession(id string) {
+	v.send(`{"type":"release","id":"%s","fields":{},"cause":16}`, id)
+}
+
+// expectEndConfirmed waits for the confirmation of endSession.
+func (v *viewerClient) expectEndConfirmed() {
+	v.t.Helper()
+	if reply := v.receive(); reply.Type != "released" {
+		v.t.Fatalf("%+v", reply)
+	}
+}
+
 // receivedLine is a line from the director.
 type receivedLine struct {
 	Type, ID, SDP string
--- a/internal/platform/proxy/proxy_test.go
+++ b/internal/platform/proxy/proxy_test.go
@@ -180,7 +180,7 @@
 // A viewer cancels its set-up: the director releases it at the media node and removes the session.
 func TestViewerCancelsSetup(t *testing.T) {
 	for name, leave := range map[string]func(*viewerClient){
-		"release": func(v *viewerClient) { v.send(`{"type":"release","id":"%s","fields":{},"cause":16}`, id1) },
+		"release": func(v *viewerClient) { v.endSession(id1) },
 		"close":   func(v *viewerClient) { v.conn.Close() },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -204,10 +204,8 @@
 	h := startHarness(t, 1, nil)
 	v := h.dialViewer()
 	node, setup := h.playSession(v, id1)
-	v.send(`{"type":"release","id":"%s","fields":{},"cause":16}`, id1)
-	if reply := v.receive(); reply.Type != "released" {
-		t.Fatalf("%+v", reply)
-	}
+	v.endSession(id1)
+	v.expectEndConfirmed()
 	node.expect(frame.Release)
 	setup.sendRelease(causeCancelled)
 	v.send(`{"type":"ping","id":"x","fields":{},"cause":0}`)
@@ -609,7 +607,7 @@
 	addr, listener := fullBacklogListener(t)
 	h.runOnLoop(func() { h.proxy.nodes[discovery.NodeIDFromName(node.name)].addr = addr })
 	node.resetConns()
-	v.send(`{"type":"release","id":"%s","fields":{},"cause":16}`, id1)
+	v.endSession(id1)
 	v.receive()
 	h.waitFor("not ended", func(Stats) bool { return h.sessionCount() == 0 }) // the first connect fails before or after
 	go node.serve(listener)
--- a/internal/platform/proxy/race_test.go
+++ b/internal/platform/proxy/race_test.go
@@ -321,10 +321,8 @@
 		t.Fatal("a set-up came to a draining media node")
 	}
 	time.Sleep(100 * time.Millisecond)
-	for len(preferred.received) > 0 {
-		if msg := <-preferred.received; msg.typ == frame.Setup {
-			t.Fatal("a set-up came to a draining media node")
-		}
+	if preferred.receivedSetup() {
+		t.Fatal("a set-up came to a draining media node")
 	}
 }
 
@@ -354,20 +352,16 @@
 	h := startHarness(t, 1, func(cfg *Config) { cfg.Module.Classes[cfg.ClassIndex["free"]].MaxPerTitle = 1 })
 	v := h.dialViewer()
 	node, setup := h.playSession(v, id1)
-	v.send(`{"type":"release","id":"%s","fields":{},"cause":16}`, id1)
-	if reply := v.receive(); reply.Type != "released" {
-		t.Fatalf("%+v", reply)
-	}
+	v.endSession(id1)
+	v.expectEndConfirmed()
 	node.expect(frame.Release)
 	time.Sleep(2 * endConfirmMs * time.Millisecond)
 	v.sendSetup(id2, "free", "1;top:0")
 	if reply := v.receive(); reply.Type != "release" || reply.Cause != causeCongested {
 		t.Fatalf("the seat was given again: %+v", reply)
 	}
-	for len(node.received) > 0 {
-		if msg := <-node.received; msg.typ == frame.Setup {
-			t.Fatal("the seat was given again: a set-up was sent on")
-		}
+	if node.receivedSetup() {
+		t.Fatal("the seat was given again: a set-up was sent on")
 	}
 	setup.sendRelease(causeCancelled)
 	h.waitFor("the session has not ended", func(Stats) bool { return h.sessionCount() == 0 })
--- a/internal/platform/proxy/release_test.go
+++ b/internal/platform/proxy/release_test.go
@@ -53,7 +53,7 @@
 	v := h.dialViewer()
 	node, _ := h.playSession(v, id1)
 	mediaNode := h.session(id1).node
-	v.send(`{"type":"release","id":"%s","fields":{},"cause":16}`, id1)
+	v.endSession(id1)
 	node.expect(frame.Release)
 	h.runOnLoop(mediaNode.closeUnusedConns)
 	h.runOnLoop(func() {}) // Closed is called after the iteration
